--- /dev/null
+++ b/bench/experiment/doc.go
@@ -0,0 +1,2 @@
+// Package experiment reads the files that describe one run of the bench.
+package experiment
--- /dev/null
+++ b/bench/lab/cost.go
@@ -0,0 +1,76 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const ticksPerSecond = 100 // of the processor times in /proc
+
+// Cost is what control costs one instance, on average.
+type Cost struct {
+	BytesPerSecond float64
+	CPUPercent     float64
+}
+
+// ControlCost measures an idle fleet for the time.
+func (lab *Lab) ControlCost(ctx context.Context, over time.Duration) (Cost, error) {
+	bytesBefore, err := lab.controlBytes(ctx)
+	if err != nil {
+		return Cost{}, err
+	}
+	cpuBefore := lab.CPU()
+	sleep(ctx, over)
+	bytesAfter, err := lab.controlBytes(ctx)
+	if err != nil {
+		return Cost{}, err
+	}
+	instances := float64(len(lab.Instances()))
+	return Cost{
+		BytesPerSecond: float64(bytesAfter-bytesBefore) / over.Seconds() / instances,
+		CPUPercent:     100 * (lab.CPU() - cpuBefore).Seconds() / over.Seconds() / instances,
+	}, nil
+}
+
+func (lab *Lab) controlBytes(ctx context.Context) (int64, error) {
+	total := int64(0)
+	for _, instance := range lab.Instances() {
+		status, err := Status(ctx, instance.Caller)
+		if err != nil {
+			return 0, err
+		}
+		total += status.ControlSent + status.ControlReceived
+	}
+	return total, nil
+}
+
+// CPU returns the processor time that the running instances have used.
+func (lab *Lab) CPU() time.Duration {
+	total := time.Duration(0)
+	for _, instance := range lab.Instances() {
+		if instance.process != nil {
+			total += processCPU(instance.process.Process.Pid)
+		}
+	}
+	return total
+}
+
+func processCPU(pid int) time.Duration {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	// The fields after the command's closing bracket start with the state, which is field 3.
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	return time.Duration(user+system) * time.Second / ticksPerSecond
+}
--- /dev/null
+++ b/bench/lab/lab.go
@@ -0,0 +1,355 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"shallotreel.example/reel/document"
+	"shallotreel.example/reel/operator"
+	"shallotreel.example/reel/platform"
+	"shallotreel.example/reel/target"
+)
+
+const (
+	startTimeout = 20 * time.Second
+	pollPeriod   = 20 * time.Millisecond
+	stopTimeout  = 40 * time.Second
+)
+
+// Instance is one running daemon.
+type Instance struct {
+	Number     int
+	Name       string
+	DataCentre string
+	Caller     netip.AddrPort
+	Peer       netip.AddrPort
+	process    *exec.Cmd
+	done       chan struct{}
+}
+
+// Lab is a running deployment.
+type Lab struct {
+	dir       string
+	net       byte
+	platform  netip.AddrPort
+	topology  topology
+	published []byte
+	revision  uint64
+	list      uint64
+	snapshot  map[string]uint64
+	standin   *exec.Cmd
+	mutex     sync.Mutex
+	instances []*Instance
+	spares    int
+	baseline  bool
+}
+
+// Config is what a lab is made of.
+type Config struct {
+	Root       string // of the workspace
+	Deployment string
+	Instances  int
+	Settings   json.RawMessage
+	Baseline   bool
+	Decisions  int
+	Seed       uint64
+}
+
+// Start builds the programs and starts the deployment; Close ends all that it started.
+func Start(ctx context.Context, config Config) (*Lab, error) {
+	dir, err := os.MkdirTemp("", "shallotreel-bench-")
+	if err != nil {
+		return nil, errors.Wrap(err, "make directory")
+	}
+	lab := &Lab{dir: dir, net: byte(64 + os.Getpid()%128), revision: 1, list: 1,
+		snapshot: map[string]uint64{}, baseline: config.Baseline}
+	if err := lab.start(ctx, config); err != nil {
+		lab.Close()
+		return nil, err
+	}
+	return lab, nil
+}
+
+func (lab *Lab) start(ctx context.Context, config Config) error {
+	build := exec.CommandContext(ctx, "go", "build", "-o", lab.dir+"/", "./shallotreel", "./standin")
+	build.Dir = config.Root
+	if output, err := build.CombinedOutput(); err != nil {
+		return errors.Errorf("build programs: %v: %s", err, output)
+	}
+	var err error
+	lab.topology, lab.published, err = readTopology(config.Root, config.Deployment, lab.net, config.Settings)
+	if err != nil {
+		return err
+	}
+	lab.platform = lab.address(1, 1, 7070)
+	for number := range config.Instances {
+		lab.instances = append(lab.instances, lab.place(number, fmt.Sprintf("instance-%d", number), byte(number+1)))
+	}
+	if err := lab.startStandin(config.Seed); err != nil {
+		return err
+	}
+	for _, instance := range lab.instances {
+		if err := lab.run(instance, config.Decisions); err != nil {
+			return err
+		}
+	}
+	return lab.awaitReady(ctx)
+}
+
+func (lab *Lab) place(number int, name string, host byte) *Instance {
+	centres := lab.topology.document.DataCentres
+	return &Instance{Number: number, Name: name, DataCentre: centres[number%len(centres)],
+		Caller: lab.address(2, host, callerPort), Peer: lab.address(2, host, peerPort)}
+}
+
+func (lab *Lab) address(third, host byte, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, lab.net, third, host}), port)
+}
+
+// Document returns the configuration as it was first published.
+func (lab *Lab) Document() *document.Document { return lab.topology.document }
+
+// Map returns a source's partition map.
+func (lab *Lab) Map(source string) target.Map { return lab.topology.maps[source] }
+
+// Instances returns the instances that are meant to run now.
+func (lab *Lab) Instances() []*Instance {
+	lab.mutex.Lock()
+	defer lab.mutex.Unlock()
+	return slices.Clone(lab.instances)
+}
+
+// Platform returns the address of the platform's stand-in.
+func (lab *Lab) Platform() netip.AddrPort { return lab.platform }
+
+func (lab *Lab) startStandin(seed uint64) error {
+	values := map[string]any{
+		platform.DocumentKey:  value{1, lab.published},
+		platform.InstancesKey: value{lab.list, lab.instanceList()},
+	}
+	for source, partition := range lab.topology.maps {
+		values[platform.TargetsKey+source] = value{partition.Version, encode(partition)}
+		lab.snapshot[source] = firstSnapshot
+	}
+	file := filepath.Join(lab.dir, "standin.json")
+	content := encode(map[string]any{"address": lab.platform, "values": values,
+		"servers": lab.topology.servers, "seed": seed})
+	if err := os.WriteFile(file, content, 0o600); err != nil {
+		return errors.Wrap(err, "write stand-in file")
+	}
+	lab.standin = exec.Command(filepath.Join(lab.dir, "standin"), "--file", file)
+	lab.standin.Stdout, lab.standin.Stderr = os.Stderr, os.Stderr
+	if err := lab.standin.Start(); err != nil {
+		return errors.Wrap(err, "start stand-in")
+	}
+	return lab.await(startTimeout, "the stand-in", func() bool {
+		_, err := lab.Counts()
+		return err == nil
+	})
+}
+
+type value struct {
+	Version uint64          `json:"version"`
+	Data    json.RawMessage `json:"data"`
+}
+
+func (lab *Lab) instanceList() json.RawMessage {
+	var listed []platform.Instance
+	for _, instance := range lab.instances {
+		listed = append(listed, platform.Instance{Name: instance.Name, Caller: instance.Caller,
+			Peer: instance.Peer, DataCentre: instance.DataCentre})
+	}
+	return encode(map[string]any{"version": lab.list, "instances": listed})
+}
+
+func (lab *Lab) run(instance *Instance, decisions int) error {
+	settings := map[string]any{
+		"name": instance.Name, "data_centre": instance.DataCentre, "caller_address": instance.Caller,
+		"peer_address": instance.Peer, "platform_address": lab.platform, "seeds": lab.seeds(instance),
+		"decision_every": decisions, "allow_cut": true,
+	}
+	file := filepath.Join(lab.dir, instance.Name+".json")
+	if err := os.WriteFile(file, encode(settings), 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	log, err := os.OpenFile(filepath.Join(lab.dir, instance.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	defer log.Close()
+	process := exec.Command(filepath.Join(lab.dir, "shallotreel"), "--settings", file)
+	process.Stdout, process.Stderr = log, log
+	if err := process.Start(); err != nil {
+		return errors.Wrap(err, "start instance")
+	}
+	done := make(chan struct{})
+	instance.process, instance.done = process, done
+	go func() {
+		_ = process.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+func (lab *Lab) seeds(self *Instance) []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for _, instance := range lab.instances {
+		if instance != self && len(seeds) < 3 {
+			seeds = append(seeds, instance.Peer)
+		}
+	}
+	return seeds
+}
+
+// awaitReady waits until every instance is ready and knows a snapshot of every source.
+func (lab *Lab) awaitReady(ctx context.Context) error {
+	return lab.await(startTimeout, "the instances", func() bool {
+		for _, instance := range lab.Instances() {
+			status, err := Status(ctx, instance.Caller)
+			if err != nil || status.Standing != "good" || len(status.Sources) < len(lab.topology.maps) {
+				return false
+			}
+			alive := 0
+			for _, member := range status.Members {
+				if member.State.Serves() {
+					alive++
+				}
+			}
+			for _, source := range status.Sources {
+				if source.Snapshot == 0 {
+					return false
+				}
+			}
+			if alive < len(lab.instances) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (lab *Lab) await(timeout time.Duration, what string, ready func() bool) error {
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(pollPeriod) {
+		if ready() {
+			return nil
+		}
+	}
+	return errors.Errorf("%s did not get ready in %v; logs are in %s", what, timeout, lab.dir)
+}
+
+// Status asks an instance for its status.
+func Status(ctx context.Context, instance netip.AddrPort) (operator.Status, error) {
+	var status operator.Status
+	return status, get(ctx, instance, operator.StatusPath, &status)
+}
+
+// Counts is the truth as the stand-ins saw it.
+type Counts struct {
+	Targets       TargetCounts     `json:"targets"`
+	PlatformCalls int64            `json:"platform_calls"`
+	PlatformReads map[string]int64 `json:"platform_reads"`
+}
+
+// TargetCounts is the targets' part of the truth.
+type TargetCounts struct {
+	Runs               int64            `json:"runs"`
+	RunsByTarget       map[string]int64 `json:"runs_by_target"`
+	RunsByRequest      map[string]int   `json:"runs_by_request"`
+	RecordRuns         map[string]int   `json:"record_runs"`
+	SlotsOver          int64            `json:"slots_over"`
+	SentToLeaving      int64            `json:"sent_to_leaving"`
+	Crashed            map[string]int   `json:"crashed"`
+	ConnectionsOverCap int64            `json:"connections_over_cap"`
+	Connects           int64            `json:"connects"`
+	ConnectionsMax     int              `json:"connections_max"`
+}
+
+// Counts asks the stand-ins for their counts.
+func (lab *Lab) Counts() (Counts, error) {
+	var counts Counts
+	return counts, get(context.Background(), lab.platform, "/admin/counts", &counts)
+}
+
+// Close ends every process that the lab started and removes its directory.
+func (lab *Lab) Close() {
+	for _, instance := range lab.instances {
+		if instance.process != nil {
+			_ = instance.process.Process.Signal(syscall.SIGCONT)
+			_ = instance.process.Process.Kill()
+			<-instance.done
+		}
+	}
+	if lab.standin != nil && lab.standin.Process != nil {
+		_ = lab.standin.Process.Kill()
+		_ = lab.standin.Wait()
+	}
+	if os.Getenv("BENCH_KEEP_LOGS") == "" {
+		os.RemoveAll(lab.dir)
+	}
+}
+
+// Dir returns the directory with settings and logs.
+func (lab *Lab) Dir() string { return lab.dir }
+
+func get(ctx context.Context, address netip.AddrPort, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return json.NewDecoder(response.Body).Decode(into)
+}
+
+func post(address netip.AddrPort, path string, body any) error {
+	response, err := http.Post("http://"+address.String()+path, "application/json", bytes.NewReader(encode(body)))
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		text, _ := io.ReadAll(response.Body)
+		return errors.Errorf("%s: %s", path, strings.TrimSpace(string(text)))
+	}
+	return nil
+}
+
+func encode(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // the lab encodes only its own types
+	}
+	return data
+}
+
+// Targets returns the names of the targets that match a name or a shard.
+func (lab *Lab) Targets(pattern string) []string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(lab.topology.servers)) {
+		if name == pattern || strings.HasPrefix(name, pattern+"/") {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/bench/load/load.go
@@ -0,0 +1,136 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"shallotreel.example/bench/experiment"
+	"shallotreel.example/reel/caller"
+	"shallotreel.example/reel/document"
+)
+
+const (
+	clientGrace = 500 * time.Millisecond // beyond a kind's deadline before a caller counts an answer as lost
+	crashQuery  = "crash-every-target"
+	resends     = 30
+	resendPause = 100 * time.Millisecond
+	maxKeys     = 1000
+)
+
+// Callers plays the callers of one deployment.
+type Callers struct {
+	document *document.Document
+	event    document.Event
+	clients  []*caller.Client
+	seed     uint64
+	queries  int
+	mutex    sync.Mutex
+	samples  []sample
+	broken   atomic.Int64
+	next     atomic.Int64
+	inFlight sync.WaitGroup
+}
+
+// New returns callers that first ask the seeds for addresses.
+func New(doc *document.Document, seeds []netip.AddrPort, settings experiment.Experiment) *Callers {
+	callers := &Callers{document: doc, event: doc.Events[0], seed: settings.Seed, queries: settings.Queries}
+	observe := func(_ netip.AddrPort, err error) {
+		if !caller.Refused(err) {
+			callers.broken.Add(1)
+		}
+	}
+	for i := range settings.Callers {
+		person := callers.event.People[i%len(callers.event.People)]
+		centre := doc.DataCentres[i%len(doc.DataCentres)]
+		own := append([]netip.AddrPort{seeds[i%len(seeds)]}, seeds...)
+		callers.clients = append(callers.clients, caller.NewClient(person, centre, own, caller.WithObserver(observe)))
+	}
+	return callers
+}
+
+// Run sends a stream of requests until the time is over, on its own schedule whatever the answers.
+func (callers *Callers) Run(ctx context.Context, load experiment.Load, duration time.Duration) {
+	kind, _ := callers.document.Kind(load.Kind)
+	random := rand.New(rand.NewPCG(callers.seed, uint64(len(load.Kind))))
+	start := time.Now()
+	for at := time.Duration(0); at < duration; {
+		at += time.Duration(random.ExpFloat64() / load.Rate * float64(time.Second))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(start.Add(at))):
+		}
+		client := callers.clients[random.IntN(len(callers.clients))]
+		request := callers.request(kind, random)
+		callers.inFlight.Go(func() { callers.send(client, kind, request) })
+	}
+}
+
+// Wait returns when every request has its end.
+func (callers *Callers) Wait() {
+	callers.inFlight.Wait()
+}
+
+func (callers *Callers) request(kind document.Kind, random *rand.Rand) caller.Request {
+	request := caller.Request{
+		RequestID: fmt.Sprintf("%s-%d", kind.Name, callers.next.Add(1)),
+		Event:     callers.event.Name, Kind: kind.Name,
+	}
+	switch kind.Operation {
+	case document.Search:
+		request.Query = fmt.Sprintf("query %d", random.IntN(callers.queries))
+	case document.Fetch:
+		request.Key = fmt.Sprintf("item-%d", random.IntN(maxKeys))
+	case document.Record:
+		request.Key = fmt.Sprintf("entry-%s", request.RequestID)
+	}
+	return request
+}
+
+func (callers *Callers) send(client *caller.Client, kind document.Kind, request caller.Request) {
+	ctx, cancel := context.WithTimeout(context.Background(), kind.Deadline.D()+clientGrace)
+	defer cancel()
+	taken := sample{id: request.RequestID, kind: kind.Name, sent: time.Now()}
+	answer, err := callers.call(ctx, client, kind, request)
+	taken.received = time.Now()
+	taken.answer, taken.lost = answer, err != nil
+	callers.mutex.Lock()
+	callers.samples = append(callers.samples, taken)
+	callers.mutex.Unlock()
+}
+
+func (callers *Callers) call(ctx context.Context, client *caller.Client, kind document.Kind, request caller.Request) (caller.Answer, error) {
+	switch kind.Operation {
+	case document.Fetch:
+		return client.Fetch(ctx, request)
+	case document.Record:
+		return client.Record(ctx, request)
+	default:
+		return client.Search(ctx, request)
+	}
+}
+
+// CrashQuery sends one fixed request that crashes targets, again and again through other callers.
+func (callers *Callers) CrashQuery(ctx context.Context, name string) {
+	kind, _ := callers.document.Kind(name)
+	for i := range resends {
+		client := callers.clients[i%len(callers.clients)]
+		request := caller.Request{RequestID: fmt.Sprintf("crash-%d", i), Event: callers.event.Name,
+			Kind: name, Query: crashQuery}
+		callers.inFlight.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), kind.Deadline.D()+clientGrace)
+			defer cancel()
+			_, _ = callers.call(ctx, client, kind, request)
+		})
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(resendPause):
+		}
+	}
+}
--- /dev/null
+++ b/reel/document/doc.go
@@ -0,0 +1,2 @@
+// Package document holds the configuration that operators publish and judges whether it is valid.
+package document
--- /dev/null
+++ b/reel/fleet/fleet.go
@@ -0,0 +1,375 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"shallotreel.example/reel/contact"
+	"shallotreel.example/reel/document"
+	"shallotreel.example/reel/gossip"
+	"shallotreel.example/reel/member"
+	"shallotreel.example/reel/platform"
+	"shallotreel.example/reel/publication"
+	"shallotreel.example/reel/quarantine"
+	"shallotreel.example/reel/revision"
+	"shallotreel.example/reel/target"
+)
+
+const (
+	urgentFanout  = 3
+	joinTerm      = 2 * time.Second
+	pullTimeout   = time.Second
+	pullsAtOnce   = 2
+	leavingTerm   = 10 * time.Second
+	sweepPeriod   = 10 * time.Second
+	marksAtOnce   = 4
+	leavingAtOnce = 8
+)
+
+// List is the platform's list of entry instances.
+type List struct {
+	Version   uint64              `json:"version"`
+	Instances []platform.Instance `json:"instances"`
+}
+
+// Machine is everything that an instance shares with its peers; it has no clock or socket.
+type Machine struct {
+	members  *member.Machine
+	contact  *contact.Machine
+	revision *revision.Machine
+	store    publication.Store
+	book     *quarantine.Book
+	marks    gossip.Queue[quarantine.Mark]
+	leaving  gossip.Queue[string]
+	news     gossip.Queue[publication.Clock]
+	left     map[string]time.Time
+	list     List
+	seeds    []netip.AddrPort
+	started  time.Time
+	joined   bool
+	pulls    map[netip.AddrPort]time.Time
+	sweepAt  time.Time
+	seedAt   time.Time
+}
+
+// New returns the machine of an instance that starts now and knows only its seeds.
+func New(now time.Time, self member.Member, seeds []netip.AddrPort, book *quarantine.Book, random *rand.Rand) *Machine {
+	touch := contact.New(self.Name)
+	return &Machine{
+		members: member.New(self, random), contact: touch, revision: revision.New(touch),
+		book: book, seeds: seeds, started: now,
+		left: map[string]time.Time{}, pulls: map[netip.AddrPort]time.Time{},
+	}
+}
+
+// Tick lets time pass.
+func (machine *Machine) Tick(now time.Time) Output {
+	var output Output
+	output.Paused = machine.contact.Tick(now)
+	if output.Paused {
+		output.Notes = append(output.Notes, "process was paused, waiting to hear the fleet")
+	}
+	output.add(machine.wrap(now, machine.members.Tick(now)))
+	output.add(machine.contactSeeds(now))
+	if machine.marks.Len() > 0 || machine.leaving.Len() > 0 || machine.news.Len() > 0 {
+		output.add(machine.spread(now))
+	}
+	if doc, ok := machine.revision.Tick(now); ok {
+		output.InForce = doc
+		output.Notes = append(output.Notes, fmt.Sprintf("revision %d in force, preset %s", doc.Revision, doc.PresetInForce))
+		machine.news.Put("clock", machine.store.Clock())
+	}
+	if machine.Standing(now) == contact.Good {
+		output.add(machine.wrap(now, machine.members.Ready(now)))
+	}
+	machine.sweep(now)
+	return output
+}
+
+// Receive takes a packet from a peer.
+func (machine *Machine) Receive(now time.Time, packet Packet) Output {
+	if !machine.contact.Heard(now, packet.Beats) {
+		return Output{}
+	}
+	machine.revision.HeardVotes(packet.Votes)
+	output := machine.wrap(now, machine.members.Receive(now, packet.Member))
+	machine.mergeMarks(now, packet.Marks)
+	machine.mergeLeaving(now, packet.Leaving, &output)
+	if machine.store.Clock().Behind(packet.Clock) {
+		output.Pulls = append(output.Pulls, machine.pull(now, packet.Member.From.Peer)...)
+	}
+	return output
+}
+
+// Answer returns what a pulling peer lacks, and learns that the peer exists.
+func (machine *Machine) Answer(now time.Time, request PullRequest) (PullReply, Output) {
+	reply := PullReply{
+		Values: machine.store.Since(request.Stamps), Members: machine.members.Members(),
+		Marks: machine.book.Marks(now), Leaving: machine.Leaving(now),
+	}
+	return reply, machine.wrap(now, machine.members.Merge(now, []member.Member{request.From}))
+}
+
+// Request returns what to ask a peer with.
+func (machine *Machine) Request() PullRequest {
+	return PullRequest{Stamps: machine.store.Stamps(), From: machine.members.Self()}
+}
+
+// Pulled takes the reply of a peer, or its failure if reply is nil.
+func (machine *Machine) Pulled(now time.Time, from netip.AddrPort, reply *PullReply) Output {
+	delete(machine.pulls, from)
+	if reply == nil {
+		return Output{}
+	}
+	output := machine.wrap(now, machine.members.Merge(now, reply.Members))
+	for _, value := range reply.Values {
+		output.add(machine.offer(now, value, "peer "+from.String()))
+	}
+	machine.mergeMarks(now, reply.Marks)
+	machine.mergeLeaving(now, reply.Leaving, &output)
+	machine.joined = true
+	return output
+}
+
+// Read takes an answer of the platform's service; data is nil if the value did not change.
+func (machine *Machine) Read(now time.Time, key string, version uint64, data []byte) Output {
+	held, known := machine.store.Get(key)
+	if !known || version >= held.Version {
+		machine.contact.HeardPlatform(now)
+	}
+	if data == nil {
+		return Output{}
+	}
+	return machine.offer(now, publication.Value{Key: key, Version: version, Data: data}, "platform")
+}
+
+// TellMark spreads a mark that this instance made.
+func (machine *Machine) TellMark(mark quarantine.Mark) {
+	machine.marks.Put(fmt.Sprint(mark.Fingerprint), mark)
+}
+
+// TellLeaving spreads that a target is leaving.
+func (machine *Machine) TellLeaving(now time.Time, name string) {
+	machine.left[name] = now.Add(leavingTerm)
+	machine.leaving.Put(name, name)
+}
+
+// Leave tells the peers that this instance is leaving.
+func (machine *Machine) Leave(now time.Time) Output {
+	return machine.wrap(now, machine.members.Leave(now))
+}
+
+// InForce returns the document in force, nil before the first.
+func (machine *Machine) InForce() *document.Document { return machine.revision.InForce() }
+
+// Self returns this instance's own description.
+func (machine *Machine) Self() member.Member { return machine.members.Self() }
+
+// Members returns all known instances.
+func (machine *Machine) Members() []member.Member { return machine.members.Members() }
+
+// Value returns the newest copy of a published value.
+func (machine *Machine) Value(key string) (publication.Value, bool) { return machine.store.Get(key) }
+
+// Held returns the stamp of the newest valid revision.
+func (machine *Machine) Held() revision.Stamp { return revision.StampOf(machine.revision.Held()) }
+
+// Voters returns the listed instances whose votes count.
+func (machine *Machine) Voters() []string { return machine.contact.Voters() }
+
+// Leaving returns the targets that are known to be leaving.
+func (machine *Machine) Leaving(now time.Time) []string {
+	var names []string
+	for name, until := range machine.left {
+		if now.Before(until) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Standing judges whether this instance may take new work.
+func (machine *Machine) Standing(now time.Time) contact.Standing {
+	standing := machine.contact.Standing(now)
+	joined := machine.joined || now.Sub(machine.started) >= joinTerm
+	if standing == contact.Good && (!joined || machine.InForce() == nil) {
+		return contact.Waiting
+	}
+	return standing
+}
+
+func (machine *Machine) offer(now time.Time, value publication.Value, source string) Output {
+	var output Output
+	note := func(format string, args ...any) {
+		output.Notes = append(output.Notes, fmt.Sprintf(format, args...)+" from "+source)
+	}
+	if held, known := machine.store.Get(value.Key); known && held.Stamp() == value.Stamp() {
+		return output
+	}
+	if value.Key == platform.DocumentKey {
+		verdict, err := machine.revision.Offer(now, value.Data)
+		switch verdict {
+		case revision.Held:
+			machine.store.Set(value)
+			note("revision %d held", value.Version)
+		case revision.Invalid:
+			note("revision %d refused: %v", value.Version, err)
+			return output
+		case revision.Known, revision.Older:
+			note("revision %d refused as %v", value.Version, verdict)
+			return output
+		}
+	} else {
+		if err := machine.check(value); err != nil {
+			note("%s version %d refused: %v", value.Key, value.Version, err)
+			return output
+		}
+		if !machine.store.Put(value) {
+			note("%s version %d refused as older", value.Key, value.Version)
+			return output
+		}
+		note("%s version %d held", value.Key, value.Version)
+	}
+	output.Values = append(output.Values, value)
+	machine.news.Put("clock", machine.store.Clock())
+	if value.Key == platform.InstancesKey {
+		output.add(machine.takeList(now, value))
+	}
+	return output
+}
+
+func (machine *Machine) check(value publication.Value) error {
+	switch {
+	case value.Key == platform.InstancesKey:
+		var list List
+		return json.Unmarshal(value.Data, &list)
+	case strings.HasPrefix(value.Key, platform.TargetsKey):
+		var partition target.Map
+		if err := document.DecodeStrict(value.Data, &partition); err != nil {
+			return err
+		}
+		return partition.Check()
+	}
+	return nil
+}
+
+func (machine *Machine) takeList(now time.Time, value publication.Value) Output {
+	var list List
+	if json.Unmarshal(value.Data, &list) != nil {
+		return Output{}
+	}
+	machine.list = list
+	var output Output
+	var voters []string
+	for _, instance := range list.Instances {
+		if instance.Leaving {
+			continue
+		}
+		voters = append(voters, instance.Name)
+		output.add(machine.introduce(now, member.Member{Name: instance.Name,
+			DataCentre: instance.DataCentre, Caller: instance.Caller, Peer: instance.Peer}))
+	}
+	machine.contact.Elect(value.Version, voters)
+	return output
+}
+
+func (machine *Machine) introduce(now time.Time, known member.Member) Output {
+	return machine.wrap(now, machine.members.Introduce(now, known))
+}
+
+// contactSeeds pulls from the peers that the settings name until one has answered.
+func (machine *Machine) contactSeeds(now time.Time) Output {
+	if machine.joined || now.Sub(machine.seedAt) < pullTimeout {
+		return Output{}
+	}
+	machine.seedAt = now
+	var output Output
+	addresses := slices.Clone(machine.seeds)
+	for _, peer := range machine.members.Pick(pullsAtOnce) {
+		addresses = append(addresses, peer.Peer)
+	}
+	for _, address := range addresses {
+		output.Pulls = append(output.Pulls, machine.pull(now, address)...)
+	}
+	return output
+}
+
+func (machine *Machine) pull(now time.Time, from netip.AddrPort) []Pull {
+	if !from.IsValid() || from == machine.members.Self().Peer {
+		return nil
+	}
+	for address, at := range machine.pulls {
+		if now.Sub(at) >= pullTimeout {
+			delete(machine.pulls, address)
+		}
+	}
+	if _, busy := machine.pulls[from]; busy || machine.joined && len(machine.pulls) >= pullsAtOnce {
+		return nil
+	}
+	machine.pulls[from] = now
+	return []Pull{{from}}
+}
+
+func (machine *Machine) mergeMarks(now time.Time, marks []quarantine.Mark) {
+	for _, mark := range marks {
+		if machine.book.Merge(now, mark) {
+			machine.TellMark(mark)
+		}
+	}
+}
+
+func (machine *Machine) mergeLeaving(now time.Time, names []string, output *Output) {
+	for _, name := range names {
+		if until, known := machine.left[name]; known && now.Before(until) {
+			continue
+		}
+		machine.TellLeaving(now, name)
+		output.Notes = append(output.Notes, "target "+name+" is leaving, told by a peer")
+	}
+}
+
+// spread sends news to a few random peers.
+func (machine *Machine) spread(now time.Time) Output {
+	var output Output
+	for _, peer := range machine.members.Pick(urgentFanout) {
+		machine.news.Take(1, len(machine.members.Members()))
+		output.Sends = append(output.Sends, Send{peer.Peer, machine.packet(now, machine.members.News())})
+	}
+	return output
+}
+
+func (machine *Machine) wrap(now time.Time, from member.Output) Output {
+	output := Output{Changes: from.Changes, Replaced: from.Replaced}
+	for _, send := range from.Sends {
+		output.Sends = append(output.Sends, Send{send.To, machine.packet(now, send.Message)})
+	}
+	return output
+}
+
+func (machine *Machine) packet(now time.Time, message member.Message) Packet {
+	size := len(machine.list.Instances) + 1
+	return Packet{
+		Member: message, Clock: machine.store.Clock(), Beats: machine.contact.Beats(now),
+		Votes: machine.revision.Votes(), Marks: machine.marks.Take(marksAtOnce, size),
+		Leaving: machine.leaving.Take(leavingAtOnce, size),
+	}
+}
+
+func (machine *Machine) sweep(now time.Time) {
+	if now.Sub(machine.sweepAt) < sweepPeriod {
+		return
+	}
+	machine.sweepAt = now
+	machine.book.Sweep(now)
+	for name, until := range machine.left {
+		if !now.Before(until) {
+			delete(machine.left, name)
+		}
+	}
+}
--- /dev/null
+++ b/reel/member/doc.go
@@ -0,0 +1,2 @@
+// Package member tells which instances are alive, suspected, leaving or dead.
+package member
--- /dev/null
+++ b/reel/member/member.go
@@ -0,0 +1,402 @@
+package member
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"shallotreel.example/reel/gossip"
+)
+
+const (
+	probePeriod   = 500 * time.Millisecond
+	directTimeout = 200 * time.Millisecond
+	probeTimeout  = 500 * time.Millisecond
+	suspectTerm   = 2 * time.Second
+	deadPeriod    = 2 * time.Second
+	deadTerm      = 10 * time.Minute
+	pauseGap      = time.Second
+	probesAtOnce  = 2
+	indirect      = 3
+	newsFanout    = 3
+	updatesAtOnce = 8
+)
+
+// Machine keeps the membership of the fleet as this instance sees it.
+type Machine struct {
+	self    Member
+	members map[string]*entry
+	random  *rand.Rand
+	news    gossip.Queue[Member]
+	seq     uint64
+	probes  map[uint64]*probe
+	relays  map[uint64]relay
+	ring    []string
+	probeAt time.Time
+	deadAt  time.Time
+	seen    time.Time
+}
+
+type entry struct {
+	Member
+	since time.Time
+}
+
+type probe struct {
+	name     string
+	sent     time.Time
+	indirect bool
+}
+
+type relay struct {
+	to   netip.AddrPort
+	seq  uint64
+	sent time.Time
+}
+
+// New returns the machine of an instance that knows only itself.
+func New(self Member, random *rand.Rand) *Machine {
+	machine := &Machine{self: self, random: random, members: map[string]*entry{},
+		probes: map[uint64]*probe{}, relays: map[uint64]relay{}}
+	machine.news.Put(self.Name, self)
+	return machine
+}
+
+// Self returns this instance's own description.
+func (machine *Machine) Self() Member {
+	return machine.self
+}
+
+// Members returns all known instances, this one included, ordered by name.
+func (machine *Machine) Members() []Member {
+	members := []Member{machine.self}
+	for _, entry := range machine.members {
+		members = append(members, entry.Member)
+	}
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return members
+}
+
+// Introduce adds an instance that the platform or the settings name, if it is not known yet.
+func (machine *Machine) Introduce(now time.Time, member Member) Output {
+	if _, known := machine.members[member.Name]; known || member.Name == machine.self.Name {
+		return Output{}
+	}
+	member.Incarnation, member.Version, member.State = 0, 0, Joining
+	machine.members[member.Name] = &entry{member, now}
+	message := machine.message(Ping, machine.track(now, member.Name))
+	return Output{
+		Sends:   []Send{{member.Peer, message}},
+		Changes: []Change{{member, "introduced"}},
+	}
+}
+
+// Ready makes this instance tell the others that it takes work.
+func (machine *Machine) Ready(now time.Time) Output {
+	if machine.self.State != Joining {
+		return Output{}
+	}
+	machine.self.State = Alive
+	machine.renew()
+	return Output{Sends: machine.tell(now)}
+}
+
+// Leave makes this instance tell the others that it is leaving.
+func (machine *Machine) Leave(now time.Time) Output {
+	machine.self.State = Leaving
+	machine.renew()
+	return Output{Sends: machine.tell(now)}
+}
+
+// Receive takes a message from a peer.
+func (machine *Machine) Receive(now time.Time, message Message) Output {
+	if message.From.Name == machine.self.Name && message.From.Incarnation == machine.self.Incarnation {
+		return Output{}
+	}
+	output := machine.Merge(now, append([]Member{message.From}, message.Updates...))
+	switch message.Type {
+	case Ping:
+		reply := machine.message(Ack, message.Seq)
+		reply.Subject = machine.self.Name
+		reply.Updates = machine.about(message.From, reply.Updates)
+		output.Sends = append(output.Sends, Send{message.From.Peer, reply})
+	case PingRequest:
+		machine.seq++
+		machine.relays[machine.seq] = relay{message.From.Peer, message.Seq, now}
+		output.Sends = append(output.Sends, Send{message.About, machine.message(Ping, machine.seq)})
+	case Ack:
+		output.Sends = append(output.Sends, machine.acked(message)...)
+	case News:
+	}
+	return output
+}
+
+// acked ends the probe that the message answers, or passes the answer on to who asked for it.
+func (machine *Machine) acked(message Message) []Send {
+	if probe, ok := machine.probes[message.Seq]; ok && probe.name == message.Subject {
+		delete(machine.probes, message.Seq)
+	}
+	relay, ok := machine.relays[message.Seq]
+	if !ok {
+		return nil
+	}
+	delete(machine.relays, message.Seq)
+	answer := machine.message(Ack, relay.seq)
+	answer.Subject = message.Subject
+	return []Send{{relay.to, answer}}
+}
+
+// Merge takes descriptions of members and keeps those that are newer than what is known.
+func (machine *Machine) Merge(now time.Time, updates []Member) Output {
+	var output Output
+	for _, update := range updates {
+		if update.Name == machine.self.Name {
+			output.Replaced = output.Replaced || machine.defend(update)
+			continue
+		}
+		known, ok := machine.members[update.Name]
+		if ok && !update.Newer(known.Member) {
+			continue
+		}
+		if !ok && update.State == Dead {
+			continue
+		}
+		output.Changes = append(output.Changes, machine.set(now, update, "told by a peer"))
+	}
+	return output
+}
+
+// Tick lets time pass: it probes, gives up on probes, and spreads news.
+func (machine *Machine) Tick(now time.Time) Output {
+	var output Output
+	if gap := now.Sub(machine.seen); gap > pauseGap {
+		clear(machine.probes)
+		machine.renewSuspects(now)
+	}
+	machine.seen = now
+	machine.expire(now, &output)
+	if now.Sub(machine.probeAt) >= probePeriod {
+		machine.probeAt = now
+		output.Sends = append(output.Sends, machine.probeNext(now)...)
+	}
+	if now.Sub(machine.deadAt) >= deadPeriod {
+		machine.deadAt = now
+		output.Sends = append(output.Sends, machine.probeDead(now)...)
+	}
+	if machine.news.Len() > 0 {
+		output.Sends = append(output.Sends, machine.tell(now)...)
+	}
+	return output
+}
+
+// Pick returns up to n random peers that are not dead.
+func (machine *Machine) Pick(n int) []Member {
+	names := machine.names(func(member Member) bool { return member.State != Dead })
+	machine.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	var picked []Member
+	for _, name := range names[:min(n, len(names))] {
+		picked = append(picked, machine.members[name].Member)
+	}
+	return picked
+}
+
+// News returns an empty news message to carry what else there is to tell.
+func (machine *Machine) News() Message {
+	return machine.message(News, 0)
+}
+
+func (machine *Machine) message(kind Type, seq uint64) Message {
+	return Message{Type: kind, From: machine.self, Seq: seq,
+		Updates: machine.news.Take(updatesAtOnce, len(machine.members)+1)}
+}
+
+// about adds what is believed of the member itself, so that it can refute it.
+func (machine *Machine) about(member Member, updates []Member) []Member {
+	known, ok := machine.members[member.Name]
+	if ok && known.State >= Suspect {
+		return append(updates, known.Member)
+	}
+	return updates
+}
+
+// defend refutes a wrong belief about this instance; it reports whether a newer process took its name.
+func (machine *Machine) defend(update Member) bool {
+	if update.Incarnation > machine.self.Incarnation {
+		return true
+	}
+	if update.Newer(machine.self) {
+		machine.self.Version = update.Version
+		machine.renew()
+	}
+	return false
+}
+
+func (machine *Machine) renew() {
+	machine.self.Version++
+	machine.news.Put(machine.self.Name, machine.self)
+}
+
+func (machine *Machine) set(now time.Time, member Member, reason string) Change {
+	machine.members[member.Name] = &entry{member, now}
+	machine.news.Put(member.Name, member)
+	return Change{member, reason}
+}
+
+func (machine *Machine) tell(time.Time) []Send {
+	var sends []Send
+	for _, member := range machine.Pick(newsFanout) {
+		sends = append(sends, Send{member.Peer, machine.message(News, 0)})
+	}
+	return sends
+}
+
+func (machine *Machine) track(now time.Time, name string) uint64 {
+	machine.seq++
+	machine.probes[machine.seq] = &probe{name: name, sent: now}
+	return machine.seq
+}
+
+func (machine *Machine) probeNext(now time.Time) []Send {
+	var sends []Send
+	for range min(probesAtOnce, len(machine.members)) {
+		name, ok := machine.nextInRing()
+		if !ok {
+			break
+		}
+		sends = append(sends, machine.ping(now, name))
+	}
+	return sends
+}
+
+func (machine *Machine) ping(now time.Time, name string) Send {
+	member := machine.members[name].Member
+	message := machine.message(Ping, machine.track(now, name))
+	message.Updates = machine.about(member, message.Updates)
+	return Send{member.Peer, message}
+}
+
+// nextInRing walks a shuffled list of the members that are not dead.
+func (machine *Machine) nextInRing() (string, bool) {
+	for range 2 {
+		for len(machine.ring) > 0 {
+			name := machine.ring[0]
+			machine.ring = machine.ring[1:]
+			if entry, ok := machine.members[name]; ok && entry.State != Dead {
+				return name, true
+			}
+		}
+		machine.ring = machine.names(func(member Member) bool { return member.State != Dead })
+		machine.random.Shuffle(len(machine.ring), func(i, j int) {
+			machine.ring[i], machine.ring[j] = machine.ring[j], machine.ring[i]
+		})
+	}
+	return "", false
+}
+
+func (machine *Machine) probeDead(now time.Time) []Send {
+	names := machine.names(func(member Member) bool { return member.State == Dead })
+	if len(names) == 0 {
+		return nil
+	}
+	return []Send{machine.ping(now, names[machine.random.IntN(len(names))])}
+}
+
+func (machine *Machine) expire(now time.Time, output *Output) {
+	for _, seq := range sortedKeys(machine.probes) {
+		probe := machine.probes[seq]
+		waited := now.Sub(probe.sent)
+		switch {
+		case waited >= probeTimeout:
+			delete(machine.probes, seq)
+			machine.doubt(now, probe.name, output)
+		case waited >= directTimeout && !probe.indirect:
+			probe.indirect = true
+			output.Sends = append(output.Sends, machine.askOthers(seq, probe.name)...)
+		}
+	}
+	for seq, relay := range machine.relays {
+		if now.Sub(relay.sent) >= probeTimeout {
+			delete(machine.relays, seq)
+		}
+	}
+	for _, name := range machine.names(func(Member) bool { return true }) {
+		machine.age(now, name, output)
+	}
+}
+
+func (machine *Machine) askOthers(seq uint64, name string) []Send {
+	entry, ok := machine.members[name]
+	if !ok {
+		return nil
+	}
+	var sends []Send
+	for _, helper := range machine.Pick(indirect + 1) {
+		if helper.Name == name || len(sends) == indirect {
+			continue
+		}
+		message := machine.message(PingRequest, seq)
+		message.About = entry.Peer
+		sends = append(sends, Send{helper.Peer, message})
+	}
+	return sends
+}
+
+func (machine *Machine) doubt(now time.Time, name string, output *Output) {
+	entry, ok := machine.members[name]
+	if !ok {
+		return
+	}
+	doubted := entry.Member
+	switch entry.State {
+	case Joining, Alive:
+		doubted.State = Suspect
+		output.Changes = append(output.Changes, machine.set(now, doubted, "did not answer a probe"))
+	case Leaving:
+		doubted.State = Dead
+		output.Changes = append(output.Changes, machine.set(now, doubted, "left"))
+	case Suspect, Dead:
+	}
+}
+
+func (machine *Machine) age(now time.Time, name string, output *Output) {
+	entry := machine.members[name]
+	switch {
+	case entry.State == Suspect && now.Sub(entry.since) >= suspectTerm:
+		dead := entry.Member
+		dead.State = Dead
+		output.Changes = append(output.Changes, machine.set(now, dead, "stayed silent"))
+	case entry.State == Dead && now.Sub(entry.since) >= deadTerm:
+		delete(machine.members, name)
+	}
+}
+
+// renewSuspects gives suspects their full term again after this process itself was paused.
+func (machine *Machine) renewSuspects(now time.Time) {
+	for _, entry := range machine.members {
+		if entry.State == Suspect {
+			entry.since = now
+		}
+	}
+}
+
+func (machine *Machine) names(match func(Member) bool) []string {
+	var names []string
+	for name, entry := range machine.members {
+		if match(entry.Member) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func sortedKeys(probes map[uint64]*probe) []uint64 {
+	keys := make([]uint64, 0, len(probes))
+	for key := range probes {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/reel/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator holds the protocol between operators and instances.
+package operator
--- /dev/null
+++ b/reel/publication/doc.go
@@ -0,0 +1,2 @@
+// Package publication keeps the newest copy of each value that the platform published.
+package publication
--- /dev/null
+++ b/reel/result/result.go
@@ -0,0 +1,118 @@
+package result
+
+import (
+	"fmt"
+	"time"
+)
+
+// Code numbers one outcome of a request; docs/RESULT-CODES.md has the table.
+type Code int
+
+// Codes of callers' requests and of sub-requests to targets.
+const (
+	OK                Code = 0
+	Partial           Code = 1
+	BadRequest        Code = 100
+	UnknownKind       Code = 101
+	UnknownEvent      Code = 102
+	NotServed         Code = 103
+	TicketNeeded      Code = 104
+	TicketInvalid     Code = 105
+	TicketMismatch    Code = 106
+	NotReady          Code = 200
+	Isolated          Code = 201
+	Overloaded        Code = 202
+	TooLate           Code = 203
+	EventStarted      Code = 204
+	Quarantined       Code = 205
+	Stopping          Code = 206
+	NoTarget          Code = 207
+	Paused            Code = 208
+	Draining          Code = 300
+	Shed              Code = 301
+	SnapshotGone      Code = 302
+	RangeNotHeld      Code = 303
+	ConnectRefused    Code = 304
+	Suspect           Code = 305
+	NotHolder         Code = 306
+	Canceled          Code = 307
+	DeadlineExceeded  Code = 400
+	Broken            Code = 401
+	OwnerGone         Code = 402
+	OutcomeForgotten  Code = 403
+	Mismatch          Code = 404
+	HolderLost        Code = 405
+	PlatformDown      Code = 500
+	PlatformDiscarded Code = 501
+)
+
+var names = map[Code]string{
+	OK: "ok", Partial: "partial", BadRequest: "bad_request", UnknownKind: "unknown_kind",
+	UnknownEvent: "unknown_event", NotServed: "not_served", TicketNeeded: "ticket_needed",
+	TicketInvalid: "ticket_invalid", TicketMismatch: "ticket_mismatch", NotReady: "not_ready",
+	Isolated: "isolated", Overloaded: "overloaded", TooLate: "too_late",
+	EventStarted: "event_started", Quarantined: "quarantined", Stopping: "stopping",
+	NoTarget: "no_target", Paused: "paused", Draining: "draining", Shed: "shed",
+	SnapshotGone: "snapshot_gone", RangeNotHeld: "range_not_held",
+	ConnectRefused: "connect_refused", Suspect: "suspect", NotHolder: "not_holder",
+	Canceled: "canceled", DeadlineExceeded: "deadline_exceeded", Broken: "broken",
+	OwnerGone: "owner_gone", OutcomeForgotten: "outcome_forgotten", Mismatch: "mismatch",
+	HolderLost:   "holder_lost",
+	PlatformDown: "platform_down", PlatformDiscarded: "platform_discarded",
+}
+
+// String returns the code's name in snake case.
+func (code Code) String() string {
+	if name, ok := names[code]; ok {
+		return name
+	}
+	return fmt.Sprintf("code_%d", int(code))
+}
+
+// Ran says what is known about whether a request ran at a target.
+type Ran string
+
+// States of knowledge about a run.
+const (
+	RanYes     Ran = "yes"
+	RanNo      Ran = "not_run"
+	RanUnknown Ran = "unknown"
+)
+
+// Ran returns what a sub-request that ended with the code proves about its run.
+func (code Code) Ran() Ran {
+	switch {
+	case code == OK || code == Partial:
+		return RanYes
+	case code >= DeadlineExceeded && code < PlatformDown:
+		return RanUnknown
+	default:
+		return RanNo
+	}
+}
+
+// Error is a refusal or failure with its code, what it proves and when to come back.
+type Error struct {
+	Code       Code
+	Ran        Ran
+	Field      string
+	Detail     string
+	RetryAfter time.Duration
+}
+
+// Error describes the refusal in one line.
+func (err *Error) Error() string {
+	text := err.Code.String()
+	if err.Field != "" {
+		text += ": field " + err.Field
+	}
+	if err.Detail != "" {
+		text += ": " + err.Detail
+	}
+	return text
+}
+
+// Refuse returns an error for a request that did not run.
+func Refuse(code Code, retryAfter time.Duration, detail string) *Error {
+	return &Error{Code: code, Ran: RanNo, Detail: detail, RetryAfter: retryAfter}
+}
--- /dev/null
+++ b/shallotreel/control/watch.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"shallotreel.example/reel/contact"
+	"shallotreel.example/reel/platform"
+)
+
+const (
+	watchersPerKey = 2 // in each data centre
+	documentWait   = time.Second
+	otherWait      = 20 * time.Second
+	idlePeriod     = 500 * time.Millisecond
+	retryPeriod    = 500 * time.Millisecond
+	lonelyPeriod   = 2 * time.Second
+)
+
+// watchPlatform starts a watch for the document and the list, and one for each source as it appears.
+func (control *Control) watchPlatform() {
+	go control.watch(platform.DocumentKey, documentWait)
+	go control.watch(platform.InstancesKey, otherWait)
+	go control.watchSources()
+}
+
+func (control *Control) watchSources() {
+	watched := map[string]bool{}
+	for control.sleep(idlePeriod / 5) {
+		view := control.View()
+		if view.Document == nil {
+			continue
+		}
+		for _, source := range view.Document.Sources {
+			if !watched[source.Name] {
+				watched[source.Name] = true
+				go control.watch(platform.TargetsKey+source.Name, otherWait)
+			}
+		}
+	}
+}
+
+// watch reads the value once, then watches it while this instance ranks among its watchers.
+func (control *Control) watch(key string, wait time.Duration) {
+	version := uint64(0)
+	for first := true; ; first = false {
+		if !first && !control.ranked(key) {
+			if !control.sleep(control.idle()) {
+				return
+			}
+			if control.View().Standing == contact.Good {
+				continue
+			}
+		}
+		limit := wait
+		if first || !control.ranked(key) {
+			limit = 0
+		}
+		control.calls.Add(1)
+		value, err := control.platform.Watch(control.ctx, key, version, limit)
+		if err != nil {
+			control.log.Notef("cannot read %s: %v", key, err)
+			if !control.sleep(jittered(retryPeriod)) {
+				return
+			}
+			continue
+		}
+		control.send(read{key, value})
+		version = value.Version
+		if control.ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// idle is the time until a watcher that is not ranked looks again, longer when it is cut off.
+func (control *Control) idle() time.Duration {
+	if control.View().Standing == contact.Good {
+		return jittered(idlePeriod)
+	}
+	return jittered(lonelyPeriod)
+}
+
+// ranked reports whether this instance is among the few of its data centre that watch the key.
+func (control *Control) ranked(key string) bool {
+	view := control.View()
+	for _, holder := range view.Holders.Rank(key, view.Self.DataCentre, watchersPerKey) {
+		if holder.Name == view.Self.Name {
+			return true
+		}
+	}
+	return view.Holders.Len() == 0
+}
+
+func (control *Control) sleep(duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-control.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func jittered(duration time.Duration) time.Duration {
+	return duration/2 + rand.N(duration)
+}
--- /dev/null
+++ b/shallotreel/holding/doc.go
@@ -0,0 +1,2 @@
+// Package holding hosts one holder machine for each target that this instance holds.
+package holding
--- /dev/null
+++ b/shallotreel/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads what one process is told at its start.
+package settings
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,160 @@
+// Command standin plays the platform and the targets for tests and the bench.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+
+	"shallotreel.example/standin/platform"
+	"shallotreel.example/standin/servers"
+)
+
+type options struct {
+	File string `long:"file" required:"true" description:"path of the file that describes platform and targets (JSON)"`
+}
+
+// file is what the stand-ins are made of.
+type file struct {
+	Address netip.AddrPort           `json:"address"`
+	Values  map[string]value         `json:"values"`
+	Servers map[string]*servers.Spec `json:"servers"`
+	Seed    uint64                   `json:"seed"`
+}
+
+type value struct {
+	Version uint64          `json:"version"`
+	Data    json.RawMessage `json:"data"`
+}
+
+// fault is the body of POST /admin/fault.
+type fault struct {
+	Fault     string        `json:"fault"`
+	Targets   []string      `json:"targets"`
+	Factor    float64       `json:"factor"`
+	Pause     time.Duration `json:"pause_ns"`
+	Snapshots []uint64      `json:"snapshots"`
+	On        bool          `json:"on"`
+}
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	var options options
+	if _, err := flags.Parse(&options); err != nil {
+		os.Exit(2)
+	}
+	data, err := os.ReadFile(options.File)
+	if err != nil {
+		return errors.Wrap(err, "read file")
+	}
+	var described file
+	if err := json.Unmarshal(data, &described); err != nil {
+		return errors.Wrap(err, "decode file")
+	}
+	standin := &standin{service: platform.New(), tally: servers.NewTally(), servers: map[string]*servers.Server{}}
+	for key, value := range described.Values {
+		standin.service.Publish(key, value.Version, value.Data)
+	}
+	seed := described.Seed
+	for _, name := range slices.Sorted(maps.Keys(described.Servers)) {
+		seed++
+		standin.servers[name] = servers.New(*described.Servers[name], standin.tally, seed)
+		if err := standin.servers[name].Listen(); err != nil {
+			return errors.Wrap(err, "listen for "+name)
+		}
+	}
+	listener, err := net.Listen("tcp", described.Address.String())
+	if err != nil {
+		return errors.Wrap(err, "listen for the platform")
+	}
+	return http.Serve(listener, standin.handler())
+}
+
+type standin struct {
+	service *platform.Service
+	tally   *servers.Tally
+	servers map[string]*servers.Server
+}
+
+func (standin *standin) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /v1/values", standin.service)
+	mux.HandleFunc("POST /admin/publish", standin.publish)
+	mux.HandleFunc("POST /admin/fault", standin.fault)
+	mux.HandleFunc("GET /admin/counts", func(writer http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(writer).Encode(map[string]any{
+			"targets": standin.tally.Counts(), "platform_calls": standin.service.Calls(), "platform_reads": standin.service.Reads()})
+	})
+	return mux
+}
+
+func (standin *standin) publish(writer http.ResponseWriter, request *http.Request) {
+	var values map[string]value
+	if err := json.NewDecoder(request.Body).Decode(&values); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	for key, value := range values {
+		standin.service.Publish(key, value.Version, value.Data)
+	}
+}
+
+func (standin *standin) fault(writer http.ResponseWriter, request *http.Request) {
+	var fault fault
+	if err := json.NewDecoder(request.Body).Decode(&fault); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	switch fault.Fault {
+	case "config_down":
+		standin.service.SetDown(fault.On)
+		return
+	case "config_stale":
+		standin.service.SetStale(fault.On)
+		return
+	}
+	for _, name := range fault.Targets {
+		server, ok := standin.servers[name]
+		if !ok {
+			http.Error(writer, "unknown target "+name, http.StatusBadRequest)
+			return
+		}
+		if !apply(server, fault) {
+			http.Error(writer, "unknown fault "+fault.Fault, http.StatusBadRequest)
+			return
+		}
+	}
+}
+
+func apply(server *servers.Server, fault fault) bool {
+	switch fault.Fault {
+	case "target_slow":
+		server.SetFactor(fault.Factor)
+	case "target_kill":
+		server.Crash(fault.Pause)
+	case "target_drain":
+		server.SetLeaving(fault.On)
+	case "report_lie":
+		server.SetLie(fault.On)
+	case "snapshots":
+		server.SetSnapshots(fault.Snapshots)
+	default:
+		return false
+	}
+	return true
+}
