--- a/bench/demo.go
+++ b/bench/demo.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -33,7 +34,7 @@
 
 // Execute runs the demo.
 func (command *demoCommand) Execute([]string) error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root, err := workspace()
 	if err != nil {
--- a/bench/run.go
+++ b/bench/run.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -34,7 +35,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	outcome, err := runExperiment(ctx, described, command.Decisions)
 	if err != nil {
--- a/reel/holder/holder.go
+++ b/reel/holder/holder.go
@@ -15,8 +15,8 @@
 	pauseGap       = time.Second
 	rampStep       = 500 * time.Millisecond
 	reportTerm     = time.Second
-	downMin        = 250 * time.Millisecond
-	downMax        = 2 * time.Second
+	shortestDown   = 250 * time.Millisecond
+	longestDown    = 2 * time.Second
 	bystanderTerm  = time.Second
 	defaultService = 10 * time.Millisecond
 	serviceGain    = 0.1
@@ -409,7 +409,7 @@
 }
 
 func (machine *Machine) backOff(now time.Time) {
-	machine.down.wait = min(max(2*machine.down.wait, downMin), downMax)
+	machine.down.wait = min(max(2*machine.down.wait, shortestDown), longestDown)
 	machine.down.until = now.Add(machine.down.wait)
 }
 
--- a/reel/revision/revision.go
+++ b/reel/revision/revision.go
@@ -76,7 +76,6 @@
 	held      *document.Document
 	learnedAt time.Time
 	votes     Votes
-	rejected  string // digest of the last invalid document
 }
 
 // New returns a machine that holds nothing yet.
--- a/reel/route/latency.go
+++ b/reel/route/latency.go
@@ -14,7 +14,7 @@
 	latencyFew     = 20 // fewer samples than this tell no quantile
 	quantilePeriod = 50 * time.Millisecond
 	hedgeDefault   = 50 * time.Millisecond
-	hedgeMin       = 2 * time.Millisecond
+	shortestHedge  = 2 * time.Millisecond
 )
 
 // latency learns one service's quantile over the last windows.
@@ -52,6 +52,6 @@
 		return latency.value
 	}
 	micros := merged.ValueAtQuantile(100 * quantile)
-	latency.value = max(hedgeMin, time.Duration(micros)*time.Microsecond)
+	latency.value = max(shortestHedge, time.Duration(micros)*time.Microsecond)
 	return latency.value
 }
--- /dev/null
+++ b/reelctl/survey/doc.go
@@ -0,0 +1,2 @@
+// Package survey asks all instances of a fleet for their status.
+package survey
--- a/shallotreel/holding/held.go
+++ b/shallotreel/holding/held.go
@@ -157,16 +157,19 @@
 // judge joins the book of marks with their spreading.
 type judge struct{ holding *Holding }
 
+// JudgeFor tells how a fingerprint may run.
 func (judge judge) JudgeFor(now time.Time, fingerprint quarantine.Fingerprint, trust quarantine.Trust) quarantine.Verdict {
 	return judge.holding.book.JudgeFor(now, fingerprint, trust)
 }
 
+// Broke marks a fingerprint and spreads the mark.
 func (judge judge) Broke(now time.Time, fingerprint quarantine.Fingerprint, name string) {
 	mark := judge.holding.book.Broke(now, fingerprint, name)
 	judge.holding.log.Notef("fingerprint %x ran on %s when it broke, %d targets in all", fingerprint, name, len(mark.Targets))
 	judge.holding.teller.TellMark(mark)
 }
 
+// Passed trusts a fingerprint and spreads a lifted mark.
 func (judge judge) Passed(now time.Time, fingerprint quarantine.Fingerprint) {
 	if mark, lifted := judge.holding.book.Passed(now, fingerprint); lifted {
 		judge.holding.log.Notef("fingerprint %x passed its trial", fingerprint)
--- a/standin/servers/listener.go
+++ b/standin/servers/listener.go
@@ -12,6 +12,7 @@
 	cost time.Duration
 }
 
+// Accept returns the next connection.
 func (listener slowListener) Accept() (net.Conn, error) {
 	conn, err := listener.Listener.Accept()
 	if err != nil {
@@ -26,6 +27,7 @@
 	once sync.Once
 }
 
+// Read waits for the cost of the connection the first time.
 func (conn *slowConn) Read(buffer []byte) (int, error) {
 	conn.once.Do(func() { time.Sleep(conn.cost) })
 	return conn.Conn.Read(buffer)
