Switch presets at one instant, bound the targets one request can crash, move on from lost holders

Change: a switch of preset carries its instant and its votes, takes force only once a majority of the listed voters has held it for 1.5 s, and admits nothing under the old preset after its instant; other changes take force on arrival. Marks spread at once and the first target in the order of a fingerprint is asked even when it looks down. A holder that could not be reached is passed over. Still open: goodput after a cut heals, requests lost inside a frozen entry.

--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -182,7 +182,7 @@
 	settings := map[string]any{
 		"name": instance.Name, "data_centre": instance.DataCentre, "caller_address": instance.Caller,
 		"peer_address": instance.Peer, "platform_address": lab.platform, "seeds": lab.seeds(instance),
-		"decision_every": decisions, "allow_cut": true,
+		"decision_every": decisions, "allow_cut": true, "allow_profile": true,
 	}
 	file := filepath.Join(lab.dir, instance.Name+".json")
 	if err := os.WriteFile(file, encode(settings), 0o600); err != nil {
--- a/reel/address/address.go
+++ b/reel/address/address.go
@@ -23,25 +23,40 @@
 
 // Order returns the instances that serve, the caller's data centre first unless it is full.
 func (book *Book) Order(members []member.Member, dataCentre string, full bool) []caller.Address {
-	var near, far []member.Member
+	near, far := divide(members, dataCentre, func(known member.Member) bool {
+		return known.State.Serves() && known.Incarnation != 0
+	})
+	first, second := book.rotate(dataCentre, near), book.rotate("", far)
+	if full || len(first) == 0 {
+		first, second = second, first
+	}
+	return list(append(first, second...))
+}
+
+// Beyond returns the instances that an isolated instance does not reach, which may well serve.
+func (book *Book) Beyond(members []member.Member, dataCentre string) []caller.Address {
+	near, far := divide(members, dataCentre, func(known member.Member) bool {
+		return known.State == member.Suspect || known.State == member.Dead
+	})
+	return list(append(book.rotate(dataCentre, near), book.rotate("", far)...))
+}
+
+func divide(members []member.Member, dataCentre string, match func(member.Member) bool) (near, far []member.Member) {
 	for _, member := range members {
 		switch {
-		case !member.State.Serves() || member.Incarnation == 0:
+		case !match(member):
 		case member.DataCentre == dataCentre:
 			near = append(near, member)
 		default:
 			far = append(far, member)
 		}
 	}
-	first, second := book.rotate(dataCentre, near), book.rotate("", far)
-	if full || len(first) == 0 {
-		first, second = second, first
-	}
+	return near, far
+}
+
+func list(members []member.Member) []caller.Address {
 	var addresses []caller.Address
-	for _, member := range append(first, second...) {
-		if len(addresses) == most {
-			break
-		}
+	for _, member := range members[:min(most, len(members))] {
 		addresses = append(addresses, caller.Address{Instance: member.Name,
 			Address: member.Caller, DataCentre: member.DataCentre})
 	}
--- a/reel/caller/client.go
+++ b/reel/caller/client.go
@@ -21,7 +21,7 @@
 	maxAnswerSize  = 16 << 20 // bytes
 	addressTimeout = time.Second
 	idleConns      = 256
-	maxTries       = 3
+	maxTries       = 4
 )
 
 // ErrNoInstance is returned when no known instance answers.
@@ -168,16 +168,19 @@
 func (client *Client) send(ctx context.Context, path string, request Request) (Answer, error) {
 	request.Caller = client.name
 	var last error = ErrNoInstance
+	var refused *Answer
+	mayHaveRun := false
 	for range maxTries {
 		instances, err := client.Instances(ctx)
 		if err != nil || len(instances) == 0 {
-			return Answer{}, errors.Wrap(last, "find an instance")
+			break
 		}
-		answer, err := client.post(ctx, instances[0].Address, path, request)
+		answer, err := client.try(ctx, instances[0].Address, path, request)
 		if err != nil {
 			client.fail(instances[0].Address)
 			client.observe(instances[0].Address, err)
 			last = err
+			mayHaveRun = mayHaveRun || !Refused(err)
 			if ctx.Err() != nil {
 				return Answer{}, err
 			}
@@ -190,7 +193,13 @@
 			return answer, nil
 		}
 		client.fail(instances[0].Address)
-		last = &result.Error{Code: answer.Code, Ran: answer.Ran, Detail: answer.Detail}
+		refused = &answer
+	}
+	if refused != nil {
+		if mayHaveRun {
+			refused.Ran = result.RanUnknown
+		}
+		return *refused, nil
 	}
 	return Answer{}, errors.Wrap(last, "send request")
 }
@@ -205,6 +214,16 @@
 	}
 }
 
+// try gives an instance half of the time that is left, so that a silent one leaves time for another.
+func (client *Client) try(ctx context.Context, instance netip.AddrPort, path string, body Request) (Answer, error) {
+	if end, bounded := ctx.Deadline(); bounded {
+		half, cancel := context.WithTimeout(ctx, time.Until(end)/2)
+		defer cancel()
+		ctx = half
+	}
+	return client.post(ctx, instance, path, body)
+}
+
 func (client *Client) post(ctx context.Context, instance netip.AddrPort, path string, body Request) (Answer, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/reel/contact/contact.go
+++ b/reel/contact/contact.go
@@ -11,7 +11,7 @@
 	// MaxVoters bounds the number of listed instances whose beats and votes count.
 	MaxVoters = 15
 	// Silence is how long an instance serves without hearing the platform or a majority.
-	Silence = 3 * time.Second
+	Silence = 1500 * time.Millisecond
 	// PauseGap is the time between two ticks that proves a pause of the process.
 	PauseGap = time.Second
 	// settleTerm is how long packets that may have waited in a buffer are ignored after a pause.
@@ -28,11 +28,12 @@
 	Good
 	Isolated
 	Paused
+	Undecided // holds a switch of preset that a majority is not known to hold
 )
 
 // String returns the standing's name.
 func (standing Standing) String() string {
-	return [...]string{"waiting", "good", "isolated", "paused"}[standing]
+	return [...]string{"waiting", "good", "isolated", "paused", "undecided"}[standing]
 }
 
 // Beats carries the voters' counters under one version of the instance list.
@@ -100,6 +101,11 @@
 	return len(machine.voters)/2 + 1
 }
 
+// Empty reports whether no list has named a voter yet.
+func (machine *Machine) Empty() bool {
+	return len(machine.voters) == 0
+}
+
 // HeardPlatform records an answer of the platform to this instance.
 func (machine *Machine) HeardPlatform(now time.Time) {
 	machine.platform = now
@@ -177,16 +183,22 @@
 }
 
 func (machine *Machine) inTouch(now time.Time) bool {
-	if !machine.platform.IsZero() && now.Sub(machine.platform) <= Silence {
-		return true
-	}
-	heard := 0
-	for _, at := range machine.heard {
-		if !at.IsZero() && now.Sub(at) <= Silence {
-			heard++
+	return !now.After(machine.GoodUntil())
+}
+
+// GoodUntil returns the instant until which the instance is in touch if it hears nothing more.
+func (machine *Machine) GoodUntil() time.Time {
+	heardAt := machine.platform
+	if len(machine.voters) > 0 {
+		ordered := slices.SortedFunc(slices.Values(machine.heard), func(a, b time.Time) int { return b.Compare(a) })
+		if majority := ordered[machine.Majority()-1]; majority.After(heardAt) {
+			heardAt = majority
 		}
 	}
-	return len(machine.voters) > 0 && heard >= machine.Majority()
+	if heardAt.IsZero() {
+		return time.Time{}
+	}
+	return heardAt.Add(Silence)
 }
 
 func (machine *Machine) forget(now time.Time) {
--- a/reel/document/document.go
+++ b/reel/document/document.go
@@ -13,7 +13,7 @@
 // MaxSize is the largest document in bytes that the platform's service holds.
 const MaxSize = 1 << 20
 
-// MaxLead is the longest time between publication and the instant a revision takes force.
+// MaxLead is the longest time from publication to the instant that a document may name for its switch.
 const MaxLead = 3 * time.Second
 
 // Operation is what a request kind does at its source.
--- a/reel/fleet/fleet.go
+++ b/reel/fleet/fleet.go
@@ -52,6 +52,7 @@
 	seeds    []netip.AddrPort
 	started  time.Time
 	joined   bool
+	prepared bool
 	pulls    map[netip.AddrPort]time.Time
 	sweepAt  time.Time
 	seedAt   time.Time
@@ -79,12 +80,12 @@
 	if machine.marks.Len() > 0 || machine.leaving.Len() > 0 || machine.news.Len() > 0 {
 		output.add(machine.spread(now))
 	}
-	if doc, ok := machine.revision.Tick(now); ok {
+	if doc, ok := machine.revision.Tick(now, machine.joinedAt(now)); ok {
 		output.InForce = doc
 		output.Notes = append(output.Notes, fmt.Sprintf("revision %d in force, preset %s", doc.Revision, doc.PresetInForce))
 		machine.news.Put("clock", machine.store.Clock())
 	}
-	if machine.Standing(now) == contact.Good {
+	if machine.prepared && machine.Standing(now) == contact.Good {
 		output.add(machine.wrap(now, machine.members.Ready(now)))
 	}
 	machine.sweep(now)
@@ -96,9 +97,9 @@
 	if !machine.contact.Heard(now, packet.Beats) {
 		return Output{}
 	}
-	machine.revision.HeardVotes(packet.Votes)
 	output := machine.wrap(now, machine.members.Receive(now, packet.Member))
-	machine.mergeMarks(now, packet.Marks)
+	machine.revision.Heard(now, packet.Switch)
+	output.add(machine.mergeMarks(now, packet.Marks))
 	machine.mergeLeaving(now, packet.Leaving, &output)
 	if machine.store.Clock().Behind(packet.Clock) {
 		output.Pulls = append(output.Pulls, machine.pull(now, packet.Member.From.Peer)...)
@@ -110,7 +111,7 @@
 func (machine *Machine) Answer(now time.Time, request PullRequest) (PullReply, Output) {
 	reply := PullReply{
 		Values: machine.store.Since(request.Stamps), Members: machine.members.Members(),
-		Marks: machine.book.Marks(now), Leaving: machine.Leaving(now),
+		Marks: machine.book.Marks(now), Leaving: machine.Leaving(now), Switch: machine.revision.Switch(),
 	}
 	return reply, machine.wrap(now, machine.members.Merge(now, []member.Member{request.From}))
 }
@@ -130,7 +131,8 @@
 	for _, value := range reply.Values {
 		output.add(machine.offer(now, value, "peer "+from.String()))
 	}
-	machine.mergeMarks(now, reply.Marks)
+	machine.revision.Heard(now, reply.Switch)
+	output.add(machine.mergeMarks(now, reply.Marks))
 	machine.mergeLeaving(now, reply.Leaving, &output)
 	machine.joined = true
 	return output
@@ -148,15 +150,17 @@
 	return machine.offer(now, publication.Value{Key: key, Version: version, Data: data}, "platform")
 }
 
-// TellMark spreads a mark that this instance made.
-func (machine *Machine) TellMark(mark quarantine.Mark) {
+// TellMark spreads a mark that this instance made, at once.
+func (machine *Machine) TellMark(now time.Time, mark quarantine.Mark) Output {
 	machine.marks.Put(fmt.Sprint(mark.Fingerprint), mark)
+	return machine.spread(now)
 }
 
-// TellLeaving spreads that a target is leaving.
-func (machine *Machine) TellLeaving(now time.Time, name string) {
+// TellLeaving spreads that a target is leaving, at once.
+func (machine *Machine) TellLeaving(now time.Time, name string) Output {
 	machine.left[name] = now.Add(leavingTerm)
 	machine.leaving.Put(name, name)
+	return machine.spread(now)
 }
 
 // Leave tells the peers that this instance is leaving.
@@ -167,12 +171,18 @@
 // InForce returns the document in force, nil before the first.
 func (machine *Machine) InForce() *document.Document { return machine.revision.InForce() }
 
+// Prepare tells that this instance can work as soon as its standing is good.
+func (machine *Machine) Prepare() { machine.prepared = true }
+
 // Self returns this instance's own description.
 func (machine *Machine) Self() member.Member { return machine.members.Self() }
 
 // Members returns all known instances.
 func (machine *Machine) Members() []member.Member { return machine.members.Members() }
 
+// MembersVersion rises whenever Members would return something else.
+func (machine *Machine) MembersVersion() uint64 { return machine.members.Version() }
+
 // Value returns the newest copy of a published value.
 func (machine *Machine) Value(key string) (publication.Value, bool) { return machine.store.Get(key) }
 
@@ -197,11 +207,40 @@
 // Standing judges whether this instance may take new work.
 func (machine *Machine) Standing(now time.Time) contact.Standing {
 	standing := machine.contact.Standing(now)
-	joined := machine.joined || now.Sub(machine.started) >= joinTerm
-	if standing == contact.Good && (!joined || machine.InForce() == nil) {
+	if standing != contact.Good {
+		return standing
+	}
+	if !machine.joinedAt(now) || machine.InForce() == nil {
 		return contact.Waiting
 	}
-	return standing
+	if until, coming := machine.revision.Until(); coming && !now.Before(until) {
+		return contact.Undecided
+	}
+	return contact.Good
+}
+
+// GoodUntil returns the instant until which new work may be taken if nothing more is heard.
+func (machine *Machine) GoodUntil() time.Time {
+	return machine.contact.GoodUntil()
+}
+
+// Next returns the revision that takes force next and its instant, once both are sure.
+func (machine *Machine) Next() (*document.Document, time.Time) {
+	at, decided := machine.revision.Next()
+	if !decided || machine.InForce() == nil || machine.revision.Held() == machine.InForce() {
+		return nil, time.Time{}
+	}
+	return machine.revision.Held(), at
+}
+
+// Until returns the instant from which the revision in force admits nothing more, if one is known.
+func (machine *Machine) Until() (time.Time, bool) {
+	return machine.revision.Until()
+}
+
+// joinedAt reports whether a peer has answered, or none did in the time that a join may take.
+func (machine *Machine) joinedAt(now time.Time) bool {
+	return machine.joined || now.Sub(machine.started) >= joinTerm
 }
 
 func (machine *Machine) offer(now time.Time, value publication.Value, source string) Output {
@@ -218,6 +257,9 @@
 		case revision.Held:
 			machine.store.Set(value)
 			note("revision %d held", value.Version)
+			if machine.InForce() == machine.revision.Held() {
+				output.InForce = machine.InForce()
+			}
 		case revision.Invalid:
 			note("revision %d refused: %v", value.Version, err)
 			return output
@@ -316,12 +358,14 @@
 	return []Pull{{from}}
 }
 
-func (machine *Machine) mergeMarks(now time.Time, marks []quarantine.Mark) {
+func (machine *Machine) mergeMarks(now time.Time, marks []quarantine.Mark) Output {
+	var output Output
 	for _, mark := range marks {
 		if machine.book.Merge(now, mark) {
-			machine.TellMark(mark)
+			output.add(machine.TellMark(now, mark))
 		}
 	}
+	return output
 }
 
 func (machine *Machine) mergeLeaving(now time.Time, names []string, output *Output) {
@@ -329,7 +373,7 @@
 		if until, known := machine.left[name]; known && now.Before(until) {
 			continue
 		}
-		machine.TellLeaving(now, name)
+		output.add(machine.TellLeaving(now, name))
 		output.Notes = append(output.Notes, "target "+name+" is leaving, told by a peer")
 	}
 }
@@ -356,7 +400,7 @@
 	size := len(machine.list.Instances) + 1
 	return Packet{
 		Member: message, Clock: machine.store.Clock(), Beats: machine.contact.Beats(now),
-		Votes: machine.revision.Votes(), Marks: machine.marks.Take(marksAtOnce, size),
+		Switch: machine.revision.Switch(), Marks: machine.marks.Take(marksAtOnce, size),
 		Leaving: machine.leaving.Take(leavingAtOnce, size),
 	}
 }
--- a/reel/fleet/messages.go
+++ b/reel/fleet/messages.go
@@ -19,7 +19,7 @@
 	Member  member.Message    `msgpack:"m"`
 	Clock   publication.Clock `msgpack:"k"`
 	Beats   contact.Beats     `msgpack:"b"`
-	Votes   revision.Votes    `msgpack:"v"`
+	Switch  revision.Switch   `msgpack:"v"`
 	Marks   []quarantine.Mark `msgpack:"q,omitempty"`
 	Leaving []string          `msgpack:"l,omitempty"`
 }
@@ -50,6 +50,7 @@
 	Members []member.Member
 	Marks   []quarantine.Mark
 	Leaving []string
+	Switch  revision.Switch
 }
 
 // Send asks the host to send a packet.
--- a/reel/fleet/messages_test.go
+++ b/reel/fleet/messages_test.go
@@ -20,10 +20,10 @@
 	sent := Packet{
 		Member: member.Message{Type: member.Ping, From: self, Seq: 9, About: self.Peer, Subject: "a",
 			Updates: []member.Member{self}},
-		Clock: publication.Clock{Sum: 1, Digest: 2},
-		Beats: contact.Beats{List: 1, Counts: []uint32{1, 2}, Age: -1},
-		Votes: revision.Votes{List: 1, Stamp: revision.Stamp{Revision: 4, PublishedAt: now, Digest: "d"}, Bits: 3},
-		Marks: []quarantine.Mark{{Fingerprint: 5, Version: 1, Targets: []string{"t"}, Until: now}},
+		Clock:  publication.Clock{Sum: 1, Digest: 2},
+		Beats:  contact.Beats{List: 1, Counts: []uint32{1, 2}, Age: -1},
+		Switch: revision.Switch{List: 1, Stamp: revision.Stamp{Revision: 4, PublishedAt: now, Digest: "d"}, At: now, Bits: 3},
+		Marks:  []quarantine.Mark{{Fingerprint: 5, Version: 1, Targets: []string{"t"}, Until: now}},
 	}
 	data, err := sent.Encode()
 	if err != nil {
@@ -33,7 +33,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got.Votes.Stamp.PublishedAt = got.Votes.Stamp.PublishedAt.UTC()
+	got.Switch.Stamp.PublishedAt = got.Switch.Stamp.PublishedAt.UTC()
+	got.Switch.At = got.Switch.At.UTC()
 	got.Marks[0].Until = got.Marks[0].Until.UTC()
 	if !reflect.DeepEqual(got, sent) {
 		t.Fatalf("got %+v\nwant %+v", got, sent)
--- a/reel/holder/holder.go
+++ b/reel/holder/holder.go
@@ -138,6 +138,10 @@
 }
 
 func (machine *Machine) offer(now time.Time, sub Sub) []Action {
+	sub.Alone = sub.Alone && !machine.trusted(now, sub)
+	if verdict := machine.verdict(now, sub); verdict != result.OK {
+		return machine.refuse(now, sub, verdict, "fingerprint is held back")
+	}
 	switch {
 	case !sub.Request.Deadline.After(now):
 		return machine.refuse(now, sub, result.TooLate, "deadline passed")
@@ -150,9 +154,6 @@
 	case machine.expectedWait(now) >= sub.Request.Deadline.Sub(now):
 		return machine.refuse(now, sub, result.Overloaded, "would wait past its deadline")
 	}
-	if verdict := machine.verdict(now, sub); verdict != result.OK {
-		return machine.refuse(now, sub, verdict, "fingerprint is held back")
-	}
 	if machine.mustBlock(now, sub) {
 		machine.blocked[sub.Fingerprint] = append(machine.blocked[sub.Fingerprint], sub)
 		return nil
--- a/reel/member/member.go
+++ b/reel/member/member.go
@@ -34,6 +34,7 @@
 	probes  map[uint64]*probe
 	relays  map[uint64]relay
 	ring    []string
+	version uint64 // rises with each change of a member
 	probeAt time.Time
 	deadAt  time.Time
 	seen    time.Time
@@ -85,6 +86,7 @@
 		return Output{}
 	}
 	member.Incarnation, member.Version, member.State = 0, 0, Joining
+	machine.version++
 	machine.members[member.Name] = &entry{member, now}
 	message := machine.message(Ping, machine.track(now, member.Name))
 	return Output{
@@ -191,6 +193,11 @@
 	return output
 }
 
+// Version rises whenever Members would return something else.
+func (machine *Machine) Version() uint64 {
+	return machine.version
+}
+
 // Pick returns up to n random peers that are not dead.
 func (machine *Machine) Pick(n int) []Member {
 	names := machine.names(func(member Member) bool { return member.State != Dead })
@@ -234,11 +241,13 @@
 }
 
 func (machine *Machine) renew() {
+	machine.version++
 	machine.self.Version++
 	machine.news.Put(machine.self.Name, machine.self)
 }
 
 func (machine *Machine) set(now time.Time, member Member, reason string) Change {
+	machine.version++
 	machine.members[member.Name] = &entry{member, now}
 	machine.news.Put(member.Name, member)
 	return Change{member, reason}
@@ -368,6 +377,7 @@
 		dead.State = Dead
 		output.Changes = append(output.Changes, machine.set(now, dead, "stayed silent"))
 	case entry.State == Dead && now.Sub(entry.since) >= deadTerm:
+		machine.version++
 		delete(machine.members, name)
 	}
 }
--- a/reel/request/messages.go
+++ b/reel/request/messages.go
@@ -21,14 +21,19 @@
 	Query       string
 	Key         uint64 // for one-shard operations, the key asked for
 	Fingerprint quarantine.Fingerprint
-	Verdict     quarantine.Verdict
-	MarkVersion uint64
-	Lost        []string // targets that the fingerprint is suspected to have crashed
+	Marks       Marks
 	Pin         route.Pin
 	Deadline    time.Time
 	Patience    time.Time // when a tail request takes what it has; zero for never
 }
 
+// Marks tells what is known against fingerprints.
+type Marks interface {
+	Judge(now time.Time, fingerprint quarantine.Fingerprint) quarantine.Verdict
+	Version(fingerprint quarantine.Fingerprint) uint64
+	Lost(fingerprint quarantine.Fingerprint) []string
+}
+
 // Router chooses targets and keeps the budget of extra attempts.
 type Router interface {
 	Choose(now time.Time, pin route.Pin, shard int, not []string) (route.Choice, bool)
@@ -37,6 +42,7 @@
 	Started(target string, first bool, extraLoad float64)
 	Ended(now time.Time, shard route.Shard, answer holder.Answer, took time.Duration)
 	Spend() bool
+	AvoidHolder(now time.Time, name string)
 	Pin(now time.Time) (route.Pin, bool)
 }
 
--- a/reel/request/request.go
+++ b/reel/request/request.go
@@ -17,7 +17,7 @@
 const (
 	maxRestarts  = 3
 	maxTries     = 6 // attempts for one shard
-	trialDelay   = 400 * time.Millisecond
+	trialDelay   = 250 * time.Millisecond
 	backoffFirst = 20 * time.Millisecond
 	backoffMost  = 500 * time.Millisecond
 	answerMargin = 5 * time.Millisecond // between the last moment to answer and the deadline
@@ -33,6 +33,9 @@
 	mode      mode
 	trialAt   time.Time
 	trials    int
+	verdict   quarantine.Verdict
+	version   uint64   // mark up to which the fingerprint is known to run well
+	lost      []string // targets that the fingerprint is suspected to have crashed
 	restarts  int
 	sent      int
 	mayRun    bool // an attempt was sent that is not proved not to have run
@@ -94,7 +97,8 @@
 // Begin starts the request.
 func (machine *Machine) Begin(now time.Time) []Action {
 	machine.mode = open
-	switch machine.plan.Verdict {
+	machine.consult(now)
+	switch machine.verdict {
 	case quarantine.Quarantined:
 		return machine.end(result.Quarantined, "the request crashed too many targets")
 	case quarantine.Suspect:
@@ -108,6 +112,17 @@
 	return machine.step(now)
 }
 
+// consult asks what is known against the fingerprint now.
+func (machine *Machine) consult(now time.Time) {
+	machine.verdict = max(machine.verdict, machine.plan.Marks.Judge(now, machine.plan.Fingerprint))
+	machine.version = max(machine.version, machine.plan.Marks.Version(machine.plan.Fingerprint))
+	for _, target := range machine.plan.Marks.Lost(machine.plan.Fingerprint) {
+		if !slices.Contains(machine.lost, target) {
+			machine.lost = append(machine.lost, target)
+		}
+	}
+}
+
 // Wake lets time pass.
 func (machine *Machine) Wake(now time.Time) []Action {
 	return machine.step(now)
@@ -152,7 +167,7 @@
 		machine.mayRun = true
 	}
 	if answer.Code == result.OK {
-		return append(machine.succeed(attempt, answer), machine.step(now)...), true
+		return append(machine.succeed(now, attempt, answer), machine.step(now)...), true
 	}
 	actions := machine.fail(now, attempt, answer)
 	if machine.finished {
@@ -161,7 +176,7 @@
 	return append(actions, machine.step(now)...), true
 }
 
-func (machine *Machine) succeed(attempt *attempt, answer holder.Answer) []Action {
+func (machine *Machine) succeed(now time.Time, attempt *attempt, answer holder.Answer) []Action {
 	part := attempt.part
 	echoed := answer.Snapshot == machine.plan.Pin.Snapshot && answer.Range == part.shard.Range
 	if part.done || !echoed {
@@ -170,7 +185,9 @@
 	part.done = true
 	part.hits = answer.Hits
 	if attempt.why == Trial {
-		machine.plan.MarkVersion++
+		machine.version++
+		machine.verdict = quarantine.Clear
+		machine.restartPatience(now)
 	}
 	if machine.mode != open {
 		machine.fanOut()
@@ -178,6 +195,13 @@
 	return machine.cancelPart(part)
 }
 
+// restartPatience gives the other shards their time after a trial has used it up.
+func (machine *Machine) restartPatience(now time.Time) {
+	if !machine.plan.Patience.IsZero() {
+		machine.plan.Patience = now.Add(machine.plan.Kind.Patience.D())
+	}
+}
+
 // fanOut frees the shards that were not asked or given up while the fingerprint was not trusted.
 func (machine *Machine) fanOut() {
 	machine.mode = open
@@ -208,10 +232,10 @@
 		if attempt.why == Trial {
 			return machine.end(result.Quarantined, "the request broke a second target")
 		}
-		if machine.plan.Verdict != quarantine.Clear {
+		if machine.verdict != quarantine.Clear {
 			return machine.enterTrial(now, attempt.choice.Target)
 		}
-		machine.retry(now, part, true)
+		machine.retry(now, part, false)
 	case result.SnapshotGone, result.RangeNotHeld:
 		return machine.repin(now, part)
 	case result.Overloaded, result.Shed:
@@ -220,8 +244,12 @@
 		machine.retry(now, part, true)
 	case result.TooLate:
 		part.dead = part.live == 0
-	case result.Draining, result.ConnectRefused, result.NotHolder, result.Paused,
-		result.Stopping, result.HolderLost:
+	case result.NotHolder, result.HolderLost:
+		// The target itself is not at fault and may be reached through another holder.
+		machine.router.AvoidHolder(now, attempt.choice.Holder.Name)
+		part.tried = slices.DeleteFunc(part.tried, func(name string) bool { return name == attempt.choice.Target })
+		machine.retry(now, part, false)
+	case result.Draining, result.ConnectRefused, result.Paused, result.Stopping:
 		machine.retry(now, part, false)
 	default:
 		machine.retry(now, part, true)
@@ -247,10 +275,10 @@
 
 // enterTrial stops everything else and plans the one run of a suspect fingerprint.
 func (machine *Machine) enterTrial(now time.Time, lost string) []Action {
-	if lost != "" && !slices.Contains(machine.plan.Lost, lost) {
-		machine.plan.Lost = append(machine.plan.Lost, lost)
+	if lost != "" && !slices.Contains(machine.lost, lost) {
+		machine.lost = append(machine.lost, lost)
 	}
-	if machine.mode == trial && machine.trials > 0 || len(machine.plan.Lost) >= quarantine.MaxLosses {
+	if machine.mode == trial && machine.trials > 0 || len(machine.lost) >= quarantine.MaxLosses {
 		return machine.end(result.Suspect, "the request is suspected to crash targets")
 	}
 	var actions []Action
@@ -258,10 +286,10 @@
 		part.hedgeAt, part.retryAt = time.Time{}, time.Time{}
 		actions = append(actions, machine.cancelPart(part)...)
 	}
-	machine.plan.MarkVersion = max(machine.plan.MarkVersion, 1)
+	machine.version = max(machine.version, 1)
 	machine.mode = trial
 	machine.trialAt = now.Add(trialDelay)
-	machine.plan.Verdict = quarantine.Suspect
+	machine.verdict = quarantine.Suspect
 	if machine.trialAt.After(machine.lastMoment()) {
 		return append(actions, machine.end(result.Suspect, "no time is left for a trial")...)
 	}
@@ -364,6 +392,10 @@
 	if machine.trials > 0 {
 		return machine.end(result.Suspect, "the trial of the request did not run")
 	}
+	machine.consult(now)
+	if machine.verdict == quarantine.Quarantined || len(machine.lost) >= quarantine.MaxLosses {
+		return machine.end(result.Quarantined, "the request crashed too many targets")
+	}
 	machine.trials++
 	part := machine.parts[int(uint64(machine.plan.Fingerprint)%uint64(len(machine.parts)))]
 	actions := machine.try(now, part, Trial)
@@ -405,10 +437,10 @@
 
 func (machine *Machine) choose(now time.Time, part *part, why Why) (route.Choice, bool) {
 	if why == Trial {
-		not := slices.Concat(machine.plan.Lost, part.tried)
+		not := slices.Concat(machine.lost, part.tried)
 		return machine.router.ChooseFor(now, machine.plan.Pin, part.index, machine.plan.Fingerprint, not)
 	}
-	if machine.plan.Verdict == quarantine.Untried && machine.mode == canary {
+	if machine.verdict == quarantine.Untried && machine.mode == canary {
 		return machine.router.ChooseFor(now, machine.plan.Pin, part.index, machine.plan.Fingerprint, part.tried)
 	}
 	return machine.router.Choose(now, machine.plan.Pin, part.index, part.tried)
@@ -424,8 +456,8 @@
 		From: machine.plan.From, Target: choice.Target, Weight: machine.plan.Kind.Weight,
 		Fingerprint: machine.plan.Fingerprint, Alone: why == Trial,
 		Trust: quarantine.Trust{
-			Passed:  machine.plan.Verdict == quarantine.Clear || machine.covered() > 0,
-			Version: machine.plan.MarkVersion,
+			Passed:  machine.verdict == quarantine.Clear || machine.covered() > 0,
+			Version: machine.version,
 		},
 	}
 }
--- a/reel/revision/revision.go
+++ b/reel/revision/revision.go
@@ -1,7 +1,6 @@
 package revision
 
 import (
-	"cmp"
 	"math/bits"
 	"time"
 
@@ -9,43 +8,13 @@
 )
 
 const (
-	// DefaultLead is when a revision takes force after its publication if it does not say.
-	DefaultLead = time.Second
-	// LearnTerm is how long a held revision waits at most for a majority or its instant.
-	LearnTerm = 2 * time.Second
+	// Lead is the time from the first reading of a switch of preset to the instant it takes force.
+	Lead = 2200 * time.Millisecond
+	// Settle is how long a majority must have held a switch before it may take force. It is the
+	// longest time that an instance serves without hearing the platform or a majority.
+	Settle = 1500 * time.Millisecond
 )
 
-// Stamp orders revisions the same way on every instance.
-type Stamp struct {
-	Revision    uint64    `msgpack:"r" json:"revision"`
-	PublishedAt time.Time `msgpack:"p" json:"published_at"`
-	Digest      string    `msgpack:"d" json:"digest"`
-}
-
-// StampOf returns the document's stamp.
-func StampOf(doc *document.Document) Stamp {
-	if doc == nil {
-		return Stamp{}
-	}
-	return Stamp{doc.Revision, doc.PublishedAt.UTC(), doc.Digest()}
-}
-
-// Compare orders stamps by revision, then by publication, then by digest.
-func (stamp Stamp) Compare(other Stamp) int {
-	return cmp.Or(
-		cmp.Compare(stamp.Revision, other.Revision),
-		stamp.PublishedAt.Compare(other.PublishedAt),
-		cmp.Compare(stamp.Digest, other.Digest),
-	)
-}
-
-// Votes are the voters known to hold the stamped revision, one bit for each place.
-type Votes struct {
-	List  uint64 `msgpack:"l"`
-	Stamp Stamp  `msgpack:"s"`
-	Bits  uint16 `msgpack:"b"`
-}
-
 // Verdict is what became of an offered document.
 type Verdict int
 
@@ -62,20 +31,31 @@
 	return [...]string{"held", "known", "older", "invalid"}[verdict]
 }
 
+// Switch is what instances tell each other of a coming switch of preset.
+type Switch struct {
+	List   uint64    `msgpack:"l"` // version of the list that the voters come from
+	Stamp  Stamp     `msgpack:"s"` // newest revision held
+	Preset uint64    `msgpack:"p"` // sum of the preset to come, 0 if none is coming
+	At     time.Time `msgpack:"a"` // instant of the switch
+	Bits   uint16    `msgpack:"b"` // voters known to hold it, one bit for each place
+}
+
 // Electorate is what the machine needs to know of the voters.
 type Electorate interface {
 	List() uint64
 	Voter() int
 	Majority() int
+	Empty() bool
 }
 
-// Machine holds the newest valid revision and puts it in force once.
+// Machine holds the newest valid revision and puts it in force, a switch of preset at one instant everywhere.
 type Machine struct {
-	voters    Electorate
-	inForce   *document.Document
-	held      *document.Document
-	learnedAt time.Time
-	votes     Votes
+	voters     Electorate
+	inForce    *document.Document
+	held       *document.Document
+	coming     Switch
+	since      uint64    // revision that began the coming switch
+	majorityAt time.Time // when this instance first knew that a majority holds the switch
 }
 
 // New returns a machine that holds nothing yet.
@@ -99,68 +79,119 @@
 	if err != nil {
 		return Invalid, err
 	}
-	stamp, held := StampOf(doc), StampOf(machine.held)
-	switch order := stamp.Compare(held); {
+	switch order := StampOf(doc).Compare(StampOf(machine.held)); {
 	case order == 0:
 		return Known, nil
 	case order < 0:
 		return Older, nil
 	}
 	machine.held = doc
-	machine.learnedAt = now
-	machine.votes = Votes{List: machine.voters.List(), Stamp: stamp}
+	machine.plan(now)
 	return Held, nil
 }
 
-// HeardVotes adds the votes that a peer knows of.
-func (machine *Machine) HeardVotes(votes Votes) {
-	if votes.List != machine.votes.List || votes.Stamp.Compare(machine.votes.Stamp) != 0 {
+// plan decides how the held revision takes force: at once, or with a switch of preset.
+func (machine *Machine) plan(now time.Time) {
+	sum := presetSum(machine.held)
+	if machine.inForce != nil && presetSum(machine.inForce) == sum {
+		machine.inForce = machine.held
+		machine.coming = Switch{Stamp: StampOf(machine.held)}
+		return
+	}
+	if machine.coming.Preset == sum {
+		machine.coming.Stamp = StampOf(machine.held)
 		return
 	}
-	machine.votes.Bits |= votes.Bits
+	at := now.Add(Lead)
+	if machine.inForce == nil {
+		at = now
+	}
+	if machine.held.InForceAt.After(at) {
+		at = machine.held.InForceAt
+	}
+	machine.coming = Switch{Stamp: StampOf(machine.held), Preset: sum, At: at}
+	machine.since = machine.held.Revision
+	machine.majorityAt = time.Time{}
 }
 
-// Votes returns what to tell peers.
-func (machine *Machine) Votes() Votes {
-	return machine.votes
+// Heard takes what a peer knows of a coming switch: the earliest instant and all votes count.
+func (machine *Machine) Heard(now time.Time, heard Switch) {
+	same := heard.Preset != 0 && heard.Preset == machine.coming.Preset && heard.Stamp.Revision >= machine.since
+	if !same {
+		return
+	}
+	switch {
+	case machine.inForce == nil && heard.At.After(machine.coming.At):
+		// A fresh instance takes the fleet's instant in place of its own.
+		machine.coming.At = heard.At
+	case heard.At.Before(machine.coming.At):
+		machine.coming.At = heard.At
+	}
+	if heard.List == machine.coming.List {
+		machine.coming.Bits |= heard.Bits
+	}
+	machine.countVotes(now)
+}
+
+// Switch returns what to tell peers.
+func (machine *Machine) Switch() Switch {
+	return machine.coming
 }
 
 // Tick lets time pass and returns the revision that takes force now, if one does.
-func (machine *Machine) Tick(now time.Time) (*document.Document, bool) {
-	machine.vote()
-	if machine.held == machine.inForce || !machine.due(now) {
+func (machine *Machine) Tick(now time.Time, joined bool) (*document.Document, bool) {
+	if machine.held == nil || machine.coming.Preset == 0 {
+		return nil, false
+	}
+	machine.vote(now)
+	if machine.inForce == nil && !joined {
+		return nil, false
+	}
+	at, decided := machine.Next()
+	if !decided || now.Before(at) {
 		return nil, false
 	}
 	machine.inForce = machine.held
+	machine.coming = Switch{Stamp: StampOf(machine.held)}
 	return machine.inForce, true
 }
 
-func (machine *Machine) vote() {
-	if machine.held == nil {
-		return
+// Next returns the instant at which the held revision takes force, once that is sure.
+func (machine *Machine) Next() (time.Time, bool) {
+	if machine.inForce == nil {
+		return machine.coming.At, true
 	}
-	if list := machine.voters.List(); list != machine.votes.List {
-		machine.votes.List, machine.votes.Bits = list, 0
+	if machine.coming.Preset == 0 || machine.majorityAt.IsZero() {
+		return time.Time{}, false
 	}
-	if own := machine.voters.Voter(); own >= 0 {
-		machine.votes.Bits |= 1 << own
+	settled := machine.majorityAt.Add(Settle)
+	if settled.After(machine.coming.At) {
+		return settled, true
 	}
+	return machine.coming.At, true
 }
 
-func (machine *Machine) due(now time.Time) bool {
-	if now.Sub(machine.learnedAt) >= LearnTerm {
-		return true
+// Until returns the instant from which nothing may be admitted under the revision in force, if one is known.
+func (machine *Machine) Until() (time.Time, bool) {
+	if machine.inForce == nil || machine.coming.Preset == 0 {
+		return time.Time{}, false
 	}
-	if now.Before(Instant(machine.held)) {
-		return false
+	return machine.coming.At, true
+}
+
+func (machine *Machine) vote(now time.Time) {
+	if list := machine.voters.List(); list != machine.coming.List {
+		machine.coming.List, machine.coming.Bits = list, 0
+	}
+	if own := machine.voters.Voter(); own >= 0 {
+		machine.coming.Bits |= 1 << own
 	}
-	return bits.OnesCount16(machine.votes.Bits) >= machine.voters.Majority()
+	machine.countVotes(now)
 }
 
-// Instant returns when the document takes force once a majority holds it.
-func Instant(doc *document.Document) time.Time {
-	if !doc.InForceAt.IsZero() {
-		return doc.InForceAt
+func (machine *Machine) countVotes(now time.Time) {
+	enough := bits.OnesCount16(machine.coming.Bits) >= machine.voters.Majority()
+	if machine.majorityAt.IsZero() && (enough || machine.voters.Empty()) {
+		machine.majorityAt = now
 	}
-	return doc.PublishedAt.Add(DefaultLead)
 }
--- a/reel/route/budget.go
+++ b/reel/route/budget.go
@@ -3,7 +3,7 @@
 // Tokens that a budget holds at most and at the start.
 const (
 	budgetMost  = 50.0
-	budgetStart = 10.0
+	budgetStart = 1.0
 )
 
 // budget bounds hedges and retries to a fraction of the first attempts.
--- a/reel/route/replica.go
+++ b/reel/route/replica.go
@@ -14,6 +14,9 @@
 	latencyGain    = 0.2
 	startLatency   = 10 * time.Millisecond
 	crossingFactor = 1.25 // price of leaving the data centre
+	slowFactor     = 2.0  // up to which latencies count as equal
+	ranksKept      = 3
+	holderAvoided  = 500 * time.Millisecond
 	jitter         = 0.1
 	downFirst      = 250 * time.Millisecond
 	downMost       = 2 * time.Second
@@ -31,9 +34,9 @@
 	statusAt  time.Time
 	downUntil time.Time
 	downWait  time.Duration
-	leaving   time.Time // until when the target counts as leaving
-	holder    member.Member
-	holders   uint64 // version of the view that the holder was chosen from
+	leaving   time.Time       // until when the target counts as leaving
+	holders   []member.Member // best first
+	view      uint64          // version of the view that the holders were ranked from
 }
 
 func (replica *replica) leavingAt(now time.Time) bool {
@@ -71,7 +74,7 @@
 		load = max(load, replica.status.InFlight+replica.status.Queued)
 		limit = max(1, replica.status.Limit)
 	}
-	score := latency * (1 + float64(load)/float64(limit))
+	score := max(latency, slowFactor*float64(best)) * (1 + float64(load)/float64(limit))
 	if !replica.local {
 		score *= crossingFactor
 	}
--- a/reel/route/table.go
+++ b/reel/route/table.go
@@ -43,6 +43,7 @@
 	shards   []shard
 	replicas map[string]*replica
 	holders  *Holders
+	avoided  map[string]time.Time // holders that could not be reached, until when
 	budget   budget
 	pin      Pin
 	pinned   bool
@@ -57,7 +58,7 @@
 // NewTable returns an empty table of an entry in the data centre.
 func NewTable(dataCentre string, random *rand.Rand) *Table {
 	return &Table{local: dataCentre, random: random, replicas: map[string]*replica{},
-		holders: &Holders{}, budget: budget{budgetStart}}
+		holders: &Holders{}, avoided: map[string]time.Time{}, budget: budget{budgetStart}}
 }
 
 // Update takes a newer partition map and keeps what is known of the targets that stay.
@@ -100,7 +101,7 @@
 	}
 	known.server = server
 	known.local = server.DataCentre == table.local
-	known.holders = 0
+	known.view = 0
 	return known
 }
 
@@ -168,10 +169,11 @@
 	if chosen == nil {
 		return Choice{}, false
 	}
-	return Choice{chosen.server.Name, table.holderOf(chosen), reason}, true
+	return Choice{chosen.server.Name, table.holderOf(now, chosen), reason}, true
 }
 
-// ChooseFor returns the target that every entry picks for the untried or suspect fingerprint.
+// ChooseFor returns the target that every entry picks for the untried or suspect fingerprint. It picks
+// one that looks down as well, because its holder knows whether the fingerprint broke it.
 func (table *Table) ChooseFor(now time.Time, pin Pin, shard int, fingerprint quarantine.Fingerprint, not []string) (Choice, bool) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
@@ -185,9 +187,9 @@
 	for i := range replicas {
 		at := (uint64(fingerprint)>>8 + uint64(i)) % uint64(len(replicas))
 		candidate := replicas[at]
-		usable := !candidate.leavingAt(now) && !candidate.downAt(now) && candidate.holds(pin.Snapshot)
+		usable := !candidate.leavingAt(now) && candidate.holds(pin.Snapshot)
 		if usable && !slices.Contains(not, candidate.server.Name) {
-			return Choice{candidate.server.Name, table.holderOf(candidate), "order of the fingerprint"}, true
+			return Choice{candidate.server.Name, table.holderOf(now, candidate), "order of the fingerprint"}, true
 		}
 	}
 	return Choice{}, false
@@ -228,15 +230,28 @@
 	return slices.IndexFunc(table.shards, func(shard shard) bool { return shard.Range == wanted.Range })
 }
 
-func (table *Table) holderOf(replica *replica) member.Member {
-	if replica.holders != table.holders.Version {
-		replica.holders = table.holders.Version
-		replica.holder = member.Member{}
-		if ranked := table.holders.Rank(replica.server.Name, replica.server.DataCentre, 1); len(ranked) > 0 {
-			replica.holder = ranked[0]
+// holderOf returns the best ranked holder that could be reached lately.
+func (table *Table) holderOf(now time.Time, replica *replica) member.Member {
+	if replica.view != table.holders.Version {
+		replica.view = table.holders.Version
+		replica.holders = table.holders.Rank(replica.server.Name, replica.server.DataCentre, ranksKept)
+	}
+	for _, holder := range replica.holders {
+		if until, avoided := table.avoided[holder.Name]; !avoided || !now.Before(until) {
+			return holder
 		}
 	}
-	return replica.holder
+	if len(replica.holders) == 0 {
+		return member.Member{}
+	}
+	return replica.holders[0]
+}
+
+// AvoidHolder makes the table pass over a holder that could not be reached, for a short time.
+func (table *Table) AvoidHolder(now time.Time, name string) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	table.avoided[name] = now.Add(holderAvoided)
 }
 
 // Started counts an attempt at the target; first attempts earn budget.
@@ -332,7 +347,7 @@
 		if now.Sub(replica.statusAt) < term {
 			continue
 		}
-		holder := table.holderOf(replica)
+		holder := table.holderOf(now, replica)
 		stale[holder] = append(stale[holder], name)
 	}
 	return stale
--- a/shallotreel/control/control.go
+++ b/shallotreel/control/control.go
@@ -37,7 +37,11 @@
 	Holders  *route.Holders
 	Document *document.Document
 	Held     revision.Stamp
-	Standing contact.Standing
+	standing contact.Standing
+	goodTill time.Time // when the standing ends if nothing more is heard
+	until    time.Time // from when the document admits nothing more, zero if unknown
+	next     *document.Document
+	nextAt   time.Time
 	Maps     map[string]*target.Map
 	Leaving  []string
 	Voters   []string
@@ -64,11 +68,16 @@
 	maps      map[string]*target.Map
 	holders   *route.Holders
 	roster    string // members that serve, to see whether the view of holders changed
+	members   []member.Member
+	version   uint64 // of the members
+	timer     *time.Timer
+	prepared  func() bool
 }
 
 // Messages of the actor.
 type (
 	tick        struct{}
+	wake        struct{}
 	packet      struct{ fleet.Packet }
 	tellMark    struct{ mark quarantine.Mark }
 	tellLeaving struct{ target string }
@@ -92,7 +101,8 @@
 	Platform  *platform.Client
 	Log       *decision.Log
 	Listeners []Listener
-	Replaced  func() // called when another process took this instance's name
+	Replaced  func()      // called when another process took this instance's name
+	Prepared  func() bool // reports whether the duties can work
 }
 
 // New returns a Control that does nothing until Start.
@@ -100,7 +110,7 @@
 	control := &Control{
 		ctx: ctx, root: system.Root, machine: config.Machine, datagrams: config.Datagrams,
 		network: config.Network, platform: config.Platform, log: config.Log,
-		listeners: config.Listeners, replaced: config.Replaced,
+		listeners: config.Listeners, replaced: config.Replaced, prepared: config.Prepared,
 		maps: map[string]*target.Map{}, holders: &route.Holders{},
 	}
 	control.publish(time.Now())
@@ -125,7 +135,33 @@
 	if now.UnixNano()-control.tickedAt.Load() > int64(contact.PauseGap) {
 		return contact.Paused
 	}
-	return control.View().Standing
+	return control.View().StandingAt(now)
+}
+
+// StandingAt judges the standing at the instant from what the view knows.
+func (view *View) StandingAt(now time.Time) contact.Standing {
+	switch {
+	case view.standing != contact.Good && view.standing != contact.Undecided:
+		return view.standing
+	case now.After(view.goodTill):
+		return contact.Isolated
+	case view.switched(now) || view.until.IsZero() || now.Before(view.until):
+		return contact.Good
+	default:
+		return contact.Undecided
+	}
+}
+
+// DocumentAt returns the revision that admits requests at the instant, nil before the first.
+func (view *View) DocumentAt(now time.Time) *document.Document {
+	if view.switched(now) {
+		return view.next
+	}
+	return view.Document
+}
+
+func (view *View) switched(now time.Time) bool {
+	return view.next != nil && !now.Before(view.nextAt)
 }
 
 // TellMark spreads a mark against a fingerprint.
@@ -172,9 +208,15 @@
 	now := time.Now()
 	switch message := actorContext.Message().(type) {
 	case tick:
+		if control.prepared() {
+			control.machine.Prepare()
+		}
 		control.perform(now, control.machine.Tick(now))
 		control.publish(now)
 		control.tickedAt.Store(now.UnixNano())
+	case wake:
+		control.timer = nil
+		control.perform(now, control.machine.Tick(now))
 	case packet:
 		control.perform(now, control.machine.Receive(now, message.Packet))
 	case pulled:
@@ -182,9 +224,9 @@
 	case read:
 		control.perform(now, control.machine.Read(now, message.key, message.value.Version, message.value.Data))
 	case tellMark:
-		control.machine.TellMark(message.mark)
+		control.perform(now, control.machine.TellMark(now, message.mark))
 	case tellLeaving:
-		control.machine.TellLeaving(now, message.target)
+		control.perform(now, control.machine.TellLeaving(now, message.target))
 		control.publish(now)
 	case leave:
 		control.perform(now, control.machine.Leave(now))
@@ -254,17 +296,23 @@
 
 // publish makes a new view if anything in it changed.
 func (control *Control) publish(now time.Time) {
-	members := control.machine.Members()
-	control.renewHolders(members)
+	if version := control.machine.MembersVersion(); control.members == nil || version != control.version {
+		control.version = version
+		control.members = control.machine.Members()
+		control.renewHolders(control.members)
+	}
 	view := &View{
-		Self: control.machine.Self(), Members: members, Holders: control.holders,
+		Self: control.machine.Self(), Members: control.members, Holders: control.holders,
 		Document: control.machine.InForce(), Held: control.machine.Held(),
-		Standing: control.machine.Standing(now), Maps: control.maps,
-		Leaving: control.machine.Leaving(now), Voters: control.machine.Voters(),
+		standing: control.machine.Standing(now), goodTill: control.machine.GoodUntil(),
+		Maps: control.maps, Leaving: control.machine.Leaving(now), Voters: control.machine.Voters(),
 	}
+	view.next, view.nextAt = control.machine.Next()
+	view.until, _ = control.machine.Until()
 	old := control.view.Swap(view)
-	if old != nil && old.Standing != view.Standing {
-		control.log.Notef("standing changed from %v to %v", old.Standing, view.Standing)
+	control.wakeAt(now, view)
+	if old != nil && old.standing != view.standing {
+		control.log.Notef("standing changed from %v to %v", old.standing, view.standing)
 	}
 	if old != nil && old.same(view) {
 		return
@@ -274,6 +322,14 @@
 	}
 }
 
+// wakeAt makes the actor tick at the instant of the next switch.
+func (control *Control) wakeAt(now time.Time, view *View) {
+	if view.next == nil || control.timer != nil || control.pid == nil {
+		return
+	}
+	control.timer = time.AfterFunc(view.nextAt.Sub(now), func() { control.send(wake{}) })
+}
+
 func (view *View) same(other *View) bool {
 	return view.Holders == other.Holders && view.Document == other.Document &&
 		len(view.Leaving) == len(other.Leaving) && sameMaps(view.Maps, other.Maps)
--- a/shallotreel/control/watch.go
+++ b/shallotreel/control/watch.go
@@ -10,7 +10,7 @@
 
 const (
 	watchersPerKey = 2 // in each data centre
-	documentWait   = time.Second
+	documentWait   = 400 * time.Millisecond
 	otherWait      = 20 * time.Second
 	idlePeriod     = 500 * time.Millisecond
 	retryPeriod    = 500 * time.Millisecond
@@ -48,7 +48,7 @@
 			if !control.sleep(control.idle()) {
 				return
 			}
-			if control.View().Standing == contact.Good {
+			if control.View().StandingAt(time.Now()) == contact.Good {
 				continue
 			}
 		}
@@ -75,7 +75,7 @@
 
 // idle is the time until a watcher that is not ranked looks again, longer when it is cut off.
 func (control *Control) idle() time.Duration {
-	if control.View().Standing == contact.Good {
+	if control.View().StandingAt(time.Now()) == contact.Good {
 		return jittered(idlePeriod)
 	}
 	return jittered(lonelyPeriod)
--- a/shallotreel/entry/entry.go
+++ b/shallotreel/entry/entry.go
@@ -141,6 +141,28 @@
 	entry.stopping.Store(true)
 }
 
+// Prepared reports whether a snapshot is known for each source of the revision in force.
+func (entry *Entry) Prepared(now time.Time) bool {
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	if entry.view == nil || entry.view.Document == nil {
+		return false
+	}
+	if entry.view.Holders.Len() == 0 {
+		return true // the first instances of a fleet wait for nobody
+	}
+	for _, source := range entry.view.Document.Sources {
+		known := entry.sources[source.Name]
+		if known == nil {
+			return false
+		}
+		if _, ok := known.table.Pin(now); !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // Running returns the number of requests that are not answered yet.
 func (entry *Entry) Running() int64 {
 	return entry.running.Load()
@@ -155,7 +177,15 @@
 	}
 	entry.mutex.Lock()
 	defer entry.mutex.Unlock()
-	return caller.Addresses{Keep: keep, Addresses: entry.addresses.Order(view.Members, dataCentre, full)}
+	addresses := caller.Addresses{Keep: keep, Addresses: entry.addresses.Order(view.Members, dataCentre, full)}
+	switch entry.fleet.Standing(time.Now()) {
+	case contact.Isolated, contact.Undecided:
+		if beyond := entry.addresses.Beyond(view.Members, dataCentre); len(beyond) > 0 {
+			addresses.Addresses = beyond
+		}
+	case contact.Good, contact.Paused, contact.Waiting:
+	}
+	return addresses
 }
 
 // Return takes answers to sub-requests that this entry sent.
--- a/shallotreel/entry/run.go
+++ b/shallotreel/entry/run.go
@@ -42,8 +42,7 @@
 	if refusal := entry.checkStanding(now); refusal != nil {
 		return admitted{}, refusal
 	}
-	view := entry.fleet.View()
-	doc := view.Document
+	doc := entry.fleet.View().DocumentAt(now)
 	if doc == nil {
 		return admitted{}, result.Refuse(result.NotReady, notReadyWait, "no revision is in force yet")
 	}
@@ -99,6 +98,8 @@
 		return result.Refuse(result.Isolated, notReadyWait, "the instance hears neither the platform nor a majority")
 	case contact.Paused:
 		return result.Refuse(result.Paused, notReadyWait, "the instance was paused")
+	case contact.Undecided:
+		return result.Refuse(result.Isolated, notReadyWait, "a switch of preset is not confirmed by a majority")
 	case contact.Good:
 	}
 	return nil
@@ -136,9 +137,7 @@
 	plan := request.Plan{
 		RequestID: admitted.body.RequestID, From: entry.self.Name, Kind: admitted.kind,
 		Preset: admitted.preset, Query: queryOf(admitted.body), Key: keyOf(admitted.body),
-		Fingerprint: admitted.print, Verdict: entry.book.Judge(now, admitted.print),
-		MarkVersion: entry.book.Version(admitted.print), Lost: entry.book.Lost(admitted.print),
-		Pin: pin, Deadline: admitted.deadline,
+		Fingerprint: admitted.print, Marks: entry.book, Pin: pin, Deadline: admitted.deadline,
 	}
 	if admitted.kind.Rule == document.Tail {
 		plan.Patience = now.Add(admitted.kind.Patience.D())
--- a/shallotreel/instance/instance.go
+++ b/shallotreel/instance/instance.go
@@ -151,10 +151,15 @@
 	instance.control = control.New(ctx, instance.system, control.Config{
 		Machine: machine, Datagrams: instance.datagrams, Network: instance.network,
 		Platform: platform.NewClient(instance.settings.PlatformAddress), Log: instance.part("control"),
-		Listeners: listeners, Replaced: func() { instance.requestStop("replaced by another process") },
+		Listeners: listeners, Prepared: instance.prepared, Replaced: func() { instance.requestStop("replaced by another process") },
 	})
 }
 
+// prepared reports whether the entry duty knows where to send work.
+func (instance *Instance) prepared() bool {
+	return !instance.settings.Has(settings.Entry) || instance.entry.Prepared(time.Now())
+}
+
 func (instance *Instance) serve() {
 	err := instance.http.Serve(instance.listener)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/shallotreel/instance/operators.go
+++ b/shallotreel/instance/operators.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"net/netip"
 	"time"
 
@@ -23,6 +24,10 @@
 		writer.WriteHeader(http.StatusAccepted)
 		instance.requestStop("drained by an operator")
 	})
+	if instance.settings.AllowProfile {
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	}
 	if instance.settings.AllowCut {
 		mux.HandleFunc("POST "+operator.CutPath, instance.serveCut)
 	}
--- a/shallotreel/settings/settings.go
+++ b/shallotreel/settings/settings.go
@@ -30,6 +30,7 @@
 	LogLevel        string           `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warning error"`
 	DecisionEvery   int              `json:"decision_every,omitempty" validate:"min=0"`
 	AllowCut        bool             `json:"allow_cut,omitempty"`
+	AllowProfile    bool             `json:"allow_profile,omitempty"`
 }
 
 // Read reads and checks a settings file.
