Follow a switch of preset that is in force elsewhere

Cause: after a cut healed, the small side stayed undecided, because peers that had switched no longer told their votes. Change: packets carry the revision in force; an instance that holds a pending switch follows it.

--- a/reel/revision/revision.go
+++ b/reel/revision/revision.go
@@ -38,6 +38,7 @@
 	Preset uint64    `msgpack:"p"` // sum of the preset to come, 0 if none is coming
 	At     time.Time `msgpack:"a"` // instant of the switch
 	Bits   uint16    `msgpack:"b"` // voters known to hold it, one bit for each place
+	Force  uint64    `msgpack:"f"` // revision in force
 }
 
 // Electorate is what the machine needs to know of the voters.
@@ -116,6 +117,10 @@
 
 // Heard takes what a peer knows of a coming switch: the earliest instant and all votes count.
 func (machine *Machine) Heard(now time.Time, heard Switch) {
+	if machine.inForce != nil && machine.coming.Preset != 0 && heard.Force >= machine.coming.Stamp.Revision {
+		machine.follow(now)
+		return
+	}
 	same := heard.Preset != 0 && heard.Preset == machine.coming.Preset && heard.Stamp.Revision >= machine.since
 	if !same {
 		return
@@ -133,9 +138,23 @@
 	machine.countVotes(now)
 }
 
+// follow makes a switch due that is already in force elsewhere.
+func (machine *Machine) follow(now time.Time) {
+	if machine.coming.At.After(now) {
+		machine.coming.At = now
+	}
+	if settled := now.Add(-Settle); machine.majorityAt.IsZero() || machine.majorityAt.After(settled) {
+		machine.majorityAt = settled
+	}
+}
+
 // Switch returns what to tell peers.
 func (machine *Machine) Switch() Switch {
-	return machine.coming
+	told := machine.coming
+	if machine.inForce != nil {
+		told.Force = machine.inForce.Revision
+	}
+	return told
 }
 
 // Tick lets time pass and returns the revision that takes force now, if one does.
