Shrink the admission window on queues at holders, not only on refusals

Cause: at 3 times capacity 6,054 of 14,744 answers were partial, because the window shrank only when a holder refused, after its queue had already used up the patience of tail requests. Change: answers carry their wait at the holder; the window settles where 3 in 10 requests find a wait longer than a run. The experiment file can set service times, so that targets and not this machine's processors are the limit.

--- a/bench/experiment/experiment.go
+++ b/bench/experiment/experiment.go
@@ -34,18 +34,19 @@
 
 // Experiment is one run: what is started, loaded and broken.
 type Experiment struct {
-	Deployment string            `json:"deployment" validate:"oneof=gebeta bellandi"`
-	Seed       uint64            `json:"seed"`
-	Instances  int               `json:"instances" validate:"min=1,max=90"`
-	Callers    int               `json:"callers" validate:"min=1,max=2000"`
-	Queries    int               `json:"queries" validate:"min=1"`
-	Warmup     document.Duration `json:"warmup"`
-	Duration   document.Duration `json:"duration" validate:"gt=0"`
-	Load       []Load            `json:"load" validate:"min=1,dive"`
-	Settings   json.RawMessage   `json:"settings,omitempty"`
-	Baseline   bool              `json:"baseline"`
-	Faults     []Fault           `json:"faults" validate:"dive"`
-	Bounds     []Bound           `json:"bounds,omitempty" validate:"dive"`
+	Deployment string                       `json:"deployment" validate:"oneof=gebeta bellandi"`
+	Seed       uint64                       `json:"seed"`
+	Instances  int                          `json:"instances" validate:"min=1,max=90"`
+	Callers    int                          `json:"callers" validate:"min=1,max=2000"`
+	Queries    int                          `json:"queries" validate:"min=1"`
+	Warmup     document.Duration            `json:"warmup"`
+	Duration   document.Duration            `json:"duration" validate:"gt=0"`
+	Load       []Load                       `json:"load" validate:"min=1,dive"`
+	Settings   json.RawMessage              `json:"settings,omitempty"`
+	Service    map[string]document.Duration `json:"service_time,omitempty"` // of targets, by source
+	Baseline   bool                         `json:"baseline"`
+	Faults     []Fault                      `json:"faults" validate:"dive"`
+	Bounds     []Bound                      `json:"bounds,omitempty" validate:"dive"`
 }
 
 // Load is a stream of requests of one kind, per second.
--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -66,6 +66,7 @@
 	Deployment string
 	Instances  int
 	Settings   json.RawMessage
+	Service    map[string]document.Duration
 	Baseline   bool
 	Decisions  int
 	Seed       uint64
@@ -93,7 +94,7 @@
 		return errors.Errorf("build programs: %v: %s", err, output)
 	}
 	var err error
-	lab.topology, lab.published, err = readTopology(config.Root, config.Deployment, lab.net, config.Settings)
+	lab.topology, lab.published, err = readTopology(config, lab.net)
 	if err != nil {
 		return err
 	}
--- a/bench/lab/topology.go
+++ b/bench/lab/topology.go
@@ -51,12 +51,12 @@
 }
 
 // readTopology reads a shipped deployment and moves its times to now.
-func readTopology(root, deployment string, net byte, overrides json.RawMessage) (topology, []byte, error) {
-	data, err := os.ReadFile(filepath.Join(root, "deployments", deployment+".json"))
+func readTopology(config Config, net byte) (topology, []byte, error) {
+	data, err := os.ReadFile(filepath.Join(config.Root, "deployments", config.Deployment+".json"))
 	if err != nil {
 		return topology{}, nil, errors.Wrap(err, "read deployment")
 	}
-	data, err = adjust(data, 1, overrides)
+	data, err = adjust(data, 1, config.Settings)
 	if err != nil {
 		return topology{}, nil, err
 	}
@@ -64,7 +64,7 @@
 	if err != nil {
 		return topology{}, nil, errors.Wrap(err, "deployment with the experiment's settings")
 	}
-	lines, err := os.ReadFile(filepath.Join(root, "deployments", deployment+"-targets.json"))
+	lines, err := os.ReadFile(filepath.Join(config.Root, "deployments", config.Deployment+"-targets.json"))
 	if err != nil {
 		return topology{}, nil, errors.Wrap(err, "read targets")
 	}
@@ -74,6 +74,9 @@
 	}
 	built := topology{document: doc, maps: map[string]target.Map{}, servers: map[string]spec{}}
 	for i, fleet := range fleets {
+		if service, ok := config.Service[fleet.Source]; ok {
+			fleet.ServiceTime = service
+		}
 		built.add(byte(i), net, fleet)
 	}
 	return built, data, nil
--- a/bench/load/measure.go
+++ b/bench/load/measure.go
@@ -60,6 +60,7 @@
 		return
 	}
 	measured.result.Codes[sample.answer.Result]++
+	measured.countSecond(sample)
 	measured.byInstance[sample.answer.Instance]++
 	took := sample.received.Sub(sample.sent)
 	if sample.received.After(measured.callers.event.Start) {
@@ -76,6 +77,14 @@
 	}
 }
 
+func (measured *measurement) countSecond(sample sample) {
+	second := int(sample.sent.Sub(measured.start) / time.Second)
+	for len(measured.result.CodesBySecond) <= second {
+		measured.result.CodesBySecond = append(measured.result.CodesBySecond, map[string]int64{})
+	}
+	measured.result.CodesBySecond[second][sample.answer.Result]++
+}
+
 func (measured *measurement) addAnswered(sample sample, took time.Duration) {
 	measured.result.Answered++
 	measured.result.AnsweredByKind[sample.kind]++
--- a/bench/run.go
+++ b/bench/run.go
@@ -56,7 +56,7 @@
 		return load.Result{}, err
 	}
 	started, err := lab.Start(ctx, lab.Config{Root: root, Deployment: described.Deployment,
-		Instances: described.Instances, Settings: described.Settings, Baseline: described.Baseline,
+		Instances: described.Instances, Settings: described.Settings, Service: described.Service, Baseline: described.Baseline,
 		Decisions: decisions, Seed: described.Seed})
 	if err != nil {
 		return load.Result{}, err
--- a/reel/admit/admit.go
+++ b/reel/admit/admit.go
@@ -11,7 +11,9 @@
 	windowStart   = 32.0
 	windowMin     = 2.0
 	windowMax     = 4096.0
-	decrease      = 0.85
+	decrease      = 0.9
+	gain          = 0.5
+	congestedGoal = 0.3 // fraction of requests that may find a queue at a holder
 	decreasePause = 100 * time.Millisecond
 	queueFloor    = 4
 	serviceStart  = 20 * time.Millisecond
@@ -81,21 +83,41 @@
 	return decisions
 }
 
-// Done tells that a started request ended, how long it took and whether a target was overloaded.
-func (machine *Machine) Done(now time.Time, took time.Duration, overloaded bool) []Decision {
-	full := machine.running >= machine.limit()
+// Signal is what an ended request tells of the load on its targets.
+type Signal int
+
+// Signals of ended requests.
+const (
+	Free       Signal = iota
+	Congested         // a sub-request waited at a holder for longer than it ran
+	Overloaded        // a sub-request was refused for load
+)
+
+// Done tells that a started request ended, how long it took and what it found.
+func (machine *Machine) Done(now time.Time, took time.Duration, signal Signal) []Decision {
+	full := 2*machine.running >= machine.limit()
 	machine.running = max(0, machine.running-1)
 	machine.service += time.Duration(serviceGain * float64(took-machine.service))
-	switch {
-	case overloaded && now.Sub(machine.shrunkAt) >= decreasePause:
-		machine.shrunkAt = now
-		machine.window = max(windowMin, machine.window*decrease)
-	case !overloaded && full:
-		machine.window = min(windowMax, machine.window+1/machine.window)
+	switch signal {
+	case Overloaded:
+		if now.Sub(machine.shrunkAt) >= decreasePause {
+			machine.shrunkAt = now
+			machine.resize(machine.window * decrease)
+		}
+	case Congested:
+		machine.resize(machine.window - gain*(1-congestedGoal))
+	case Free:
+		if full {
+			machine.resize(machine.window + gain*congestedGoal)
+		}
 	}
 	return machine.Tick(now)
 }
 
+func (machine *Machine) resize(window float64) {
+	machine.window = min(windowMax, max(windowMin, window))
+}
+
 // GiveUp removes a waiting request whose caller hung up.
 func (machine *Machine) GiveUp(ticket Ticket) {
 	machine.queue.Remove(func(request Request) bool { return request.Ticket == ticket })
--- a/reel/caller/client.go
+++ b/reel/caller/client.go
@@ -84,6 +84,11 @@
 // Ticket asks an instance for a ticket.
 func (client *Client) Ticket(ctx context.Context) (string, error) {
 	addresses, err := client.refresh(ctx)
+	if err != nil || addresses.Ticket != "" {
+		return addresses.Ticket, err
+	}
+	// An instance that is stopping gives no ticket, but names those that do.
+	addresses, err = client.ask(ctx, addresses.Addresses[0].Address)
 	return addresses.Ticket, err
 }
 
--- a/reel/holder/holder.go
+++ b/reel/holder/holder.go
@@ -138,6 +138,7 @@
 }
 
 func (machine *Machine) offer(now time.Time, sub Sub) []Action {
+	sub.arrived = now
 	sub.Alone = sub.Alone && !machine.trusted(now, sub)
 	if verdict := machine.verdict(now, sub); verdict != result.OK {
 		return machine.refuse(now, sub, verdict, "fingerprint is held back")
@@ -240,7 +241,7 @@
 	machine.known = true
 	machine.down = down{}
 	answer := Answer{Code: reply.Code, Ran: reply.Code.Ran(), Snapshot: reply.Snapshot,
-		Range: reply.Range, Hits: reply.Hits}
+		Range: reply.Range, Hits: reply.Hits, Waited: run.start.Sub(run.sub.arrived)}
 	reason := "target answered"
 	switch {
 	case reply.Code == result.OK && (reply.Snapshot != run.sub.Request.Snapshot || reply.Range != run.sub.Request.Range):
--- a/reel/holder/messages.go
+++ b/reel/holder/messages.go
@@ -18,6 +18,7 @@
 	Fingerprint quarantine.Fingerprint
 	Trust       quarantine.Trust
 	Alone       bool // the one trial of a suspect fingerprint
+	arrived     time.Time
 }
 
 // Answer is the end of one sub-request on its way back to the entry.
@@ -30,6 +31,7 @@
 	Range      coverage.Range
 	Hits       []target.Hit
 	RetryAfter time.Duration
+	Waited     time.Duration // in the holder's queue
 	Status     Status
 }
 
--- a/reel/request/messages.go
+++ b/reel/request/messages.go
@@ -90,6 +90,7 @@
 	Hits       []target.Hit
 	RetryAfter time.Duration
 	Overloaded bool // a target or holder refused for load
+	Congested  bool // a shard's answer waited at its holder for longer than it ran
 	Attempts   int
 	Detail     string
 }
--- a/reel/request/request.go
+++ b/reel/request/request.go
@@ -40,6 +40,7 @@
 	sent      int
 	mayRun    bool // an attempt was sent that is not proved not to have run
 	overload  bool
+	congested bool
 	retryHint time.Duration
 	lastCode  result.Code
 	finished  bool
@@ -167,6 +168,7 @@
 		machine.mayRun = true
 	}
 	if answer.Code == result.OK {
+		machine.congested = machine.congested || answer.Waited > answer.Status.Service
 		return append(machine.succeed(now, attempt, answer), machine.step(now)...), true
 	}
 	actions := machine.fail(now, attempt, answer)
@@ -541,7 +543,7 @@
 
 func (machine *Machine) outcome(code result.Code, detail string) Outcome {
 	outcome := Outcome{Code: code, Snapshot: machine.plan.Pin.Snapshot, RetryAfter: machine.retryHint,
-		Overloaded: machine.overload, Attempts: machine.sent, Detail: detail}
+		Overloaded: machine.overload, Congested: machine.congested, Attempts: machine.sent, Detail: detail}
 	var answered []coverage.Range
 	for _, part := range machine.parts {
 		if part.done {
--- a/shallotreel/entry/gate.go
+++ b/shallotreel/entry/gate.go
@@ -55,17 +55,17 @@
 	select {
 	case decision := <-decided:
 		if decision.Code == result.OK {
-			gate.tell(gate.machine.Done(time.Now(), 0, false))
+			gate.tell(gate.machine.Done(time.Now(), 0, admit.Free))
 		}
 	default:
 	}
 	return admit.Decision{Ticket: ticket, Code: result.Canceled, Reason: "the caller hung up"}
 }
 
-func (gate *gate) leave(took time.Duration, overloaded bool) {
+func (gate *gate) leave(took time.Duration, signal admit.Signal) {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	gate.tell(gate.machine.Done(time.Now(), took, overloaded))
+	gate.tell(gate.machine.Done(time.Now(), took, signal))
 }
 
 func (gate *gate) tick(now time.Time) {
--- a/shallotreel/entry/run.go
+++ b/shallotreel/entry/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"shallotreel.example/reel/admit"
 	"shallotreel.example/reel/caller"
 	"shallotreel.example/reel/contact"
 	"shallotreel.example/reel/coverage"
@@ -118,10 +119,21 @@
 	}
 	start := time.Now()
 	outcome := entry.execute(ctx, admitted)
-	admitted.source.gate.leave(time.Since(start), outcome.Overloaded)
+	admitted.source.gate.leave(time.Since(start), signalOf(outcome))
 	return outcome
 }
 
+func signalOf(outcome request.Outcome) admit.Signal {
+	switch {
+	case outcome.Overloaded:
+		return admit.Overloaded
+	case outcome.Congested:
+		return admit.Congested
+	default:
+		return admit.Free
+	}
+}
+
 func (entry *Entry) execute(ctx context.Context, admitted admitted) request.Outcome {
 	now := time.Now()
 	// The wait for admission may have been long, so the facts are asked again.
