Count a tail request's patience from its arrival and keep the wait before it short

Cause: answers of tail requests took up to 300 ms under a burst, because the wait for admission came before their patience of 150 ms. Change: patience runs from arrival; the queue's floor is 2; a request that cannot be whole in what is left is refused; the service time is learned from whole answers only.

--- a/reel/admit/admit.go
+++ b/reel/admit/admit.go
@@ -15,7 +15,7 @@
 	gain          = 0.5
 	congestedGoal = 0.3 // fraction of requests that may find a queue at a holder
 	decreasePause = 100 * time.Millisecond
-	queueFloor    = 4
+	queueFloor    = 2
 	serviceStart  = 20 * time.Millisecond
 	serviceGain   = 0.05
 )
@@ -93,11 +93,13 @@
 	Overloaded        // a sub-request was refused for load
 )
 
-// Done tells that a started request ended, how long it took and what it found.
+// Done tells that a started request ended and what it found; took is 0 if it ended before it was whole.
 func (machine *Machine) Done(now time.Time, took time.Duration, signal Signal) []Decision {
 	full := 2*machine.running >= machine.limit()
 	machine.running = max(0, machine.running-1)
-	machine.service += time.Duration(serviceGain * float64(took-machine.service))
+	if took > 0 {
+		machine.service += time.Duration(serviceGain * float64(took-machine.service))
+	}
 	switch signal {
 	case Overloaded:
 		if now.Sub(machine.shrunkAt) >= decreasePause {
@@ -126,7 +128,7 @@
 // Tick refuses what waited past its deadline and starts what fits.
 func (machine *Machine) Tick(now time.Time) []Decision {
 	var decisions []Decision
-	for _, expired := range machine.queue.Expire(now.Add(machine.service / 2)) {
+	for _, expired := range machine.queue.Expire(now.Add(machine.service)) {
 		decisions = append(decisions, Decision{expired.Ticket, result.Overloaded,
 			machine.comeBack(machine.wait()), "would miss its deadline"})
 	}
--- a/shallotreel/entry/run.go
+++ b/shallotreel/entry/run.go
@@ -35,6 +35,7 @@
 	preset   document.Preset
 	source   *source
 	deadline time.Time
+	patience time.Time // when a tail request takes what it has; zero for never
 	print    quarantine.Fingerprint
 }
 
@@ -78,6 +79,9 @@
 	if !request.deadline.After(now) {
 		return admitted{}, fieldRefusal(result.TooLate, "deadline", "the deadline has passed")
 	}
+	if kind.Rule == document.Tail {
+		request.patience = now.Add(kind.Patience.D())
+	}
 	return request, nil
 }
 
@@ -109,7 +113,11 @@
 // run takes a checked request through admission and its machine to its outcome.
 func (entry *Entry) run(ctx context.Context, admitted admitted) request.Outcome {
 	admitted.source.usedAt.Store(time.Now().UnixNano())
-	decision := admitted.source.gate.enter(ctx, admitted.kind, admitted.deadline)
+	latest := admitted.deadline
+	if !admitted.patience.IsZero() {
+		latest = earliest(latest, admitted.patience)
+	}
+	decision := admitted.source.gate.enter(ctx, admitted.kind, latest)
 	if entry.log.On() {
 		entry.log.Printf("admit %s of %s as %v: %s", admitted.body.RequestID, admitted.kind.Name, decision.Code, decision.Reason)
 	}
@@ -119,7 +127,11 @@
 	}
 	start := time.Now()
 	outcome := entry.execute(ctx, admitted)
-	admitted.source.gate.leave(time.Since(start), signalOf(outcome))
+	took := time.Since(start)
+	if outcome.Code != result.OK {
+		took = 0
+	}
+	admitted.source.gate.leave(took, signalOf(outcome))
 	return outcome
 }
 
@@ -149,10 +161,7 @@
 	plan := request.Plan{
 		RequestID: admitted.body.RequestID, From: entry.self.Name, Kind: admitted.kind,
 		Preset: admitted.preset, Query: queryOf(admitted.body), Key: keyOf(admitted.body),
-		Fingerprint: admitted.print, Marks: entry.book, Pin: pin, Deadline: admitted.deadline,
-	}
-	if admitted.kind.Rule == document.Tail {
-		plan.Patience = now.Add(admitted.kind.Patience.D())
+		Fingerprint: admitted.print, Marks: entry.book, Pin: pin, Deadline: admitted.deadline, Patience: admitted.patience,
 	}
 	runner := runner{entry: entry, source: admitted.source, answers: make(chan holder.Answer, answersPerShard*(1+len(pin.Shards))),
 		machine: request.New(plan, admitted.source.table, newAttempt)}
