Add the plain policy as a baseline

Cause: no figure could be set against the policy that an operator would write first. Change: bench runs instances that call a random replica of each shard and wait for all.

--- a/bench/main.go
+++ b/bench/main.go
@@ -11,8 +11,9 @@
 )
 
 type options struct {
-	Demo demoCommand `command:"demo" description:"start a deployment, serve it under load and print a table"`
-	Run  runCommand  `command:"run" description:"run an experiment file and print one JSON object last"`
+	Demo  demoCommand  `command:"demo" description:"start a deployment, serve it under load and print a table"`
+	Run   runCommand   `command:"run" description:"run an experiment file and print one JSON object last"`
+	Plain plainCommand `command:"plain-instance" hidden:"yes"`
 }
 
 func main() {
