Tick idle targets less often and let small heaps grow

Change: targets without waiting work are ticked each 250 ms; the collector runs at 400 %; the bench gives each instance two processors, as small instances have.

--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -30,6 +30,8 @@
 	startTimeout = 20 * time.Second
 	pollPeriod   = 20 * time.Millisecond
 	stopTimeout  = 40 * time.Second
+	// instanceProcessors makes each instance as small as the users' entry instances are.
+	instanceProcessors = "GOMAXPROCS=2"
 )
 
 // Instance is one running daemon.
@@ -202,6 +204,7 @@
 		}
 		process = exec.Command(self, "plain-instance", "--settings", file)
 	}
+	process.Env = append(os.Environ(), instanceProcessors)
 	process.Stdout, process.Stderr = log, log
 	if err := process.Start(); err != nil {
 		return errors.Wrap(err, "start instance")
--- a/shallotreel/holding/holding.go
+++ b/shallotreel/holding/holding.go
@@ -20,9 +20,10 @@
 
 const (
 	holdersPerTarget = 3
-	tickPeriod       = 25 * time.Millisecond
-	firstPoll        = time.Second     // of a target that this instance holds first
-	otherPoll        = 5 * time.Second // of a target that it holds next
+	tickPeriod       = 25 * time.Millisecond // of targets where work waits
+	idleTicks        = 10                    // periods between two ticks of the others
+	firstPoll        = time.Second           // of a target that this instance holds first
+	otherPoll        = 5 * time.Second       // of a target that it holds next
 )
 
 // Returner takes the answers to sub-requests on their way back to their entries.
@@ -217,20 +218,22 @@
 func (holding *Holding) clock() {
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
-	for {
+	for count := 0; ; count++ {
 		select {
 		case <-holding.ctx.Done():
 			return
 		case <-ticker.C:
-			holding.tick()
+			holding.tick(count%idleTicks == 0)
 		}
 	}
 }
 
-func (holding *Holding) tick() {
+func (holding *Holding) tick(all bool) {
 	holding.mutex.RLock()
 	defer holding.mutex.RUnlock()
 	for _, held := range holding.held {
-		holding.system.Root.Send(held.pid, holder.Ticked{})
+		if all || held.status.Load().Queued > 0 {
+			holding.system.Root.Send(held.pid, holder.Ticked{})
+		}
 	}
 }
--- a/shallotreel/instance/instance.go
+++ b/shallotreel/instance/instance.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -66,8 +67,12 @@
 	stop      chan string
 }
 
+// gcPercent lets the heap of a small process grow further between two collections.
+const gcPercent = 400
+
 // Start opens the addresses of the settings and starts all parts.
 func Start(settings settings.Settings, logger *logrus.Logger) (*Instance, error) {
+	debug.SetGCPercent(gcPercent)
 	ctx, cancel := context.WithCancel(context.Background())
 	instance := &Instance{settings: settings, logger: logger, cancel: cancel, cut: &peers.Cut{},
 		book: &quarantine.Book{}, stop: make(chan string, 1), logs: map[string]*decision.Log{}}
