--- a/reel/fleet/messages_test.go
+++ b/reel/fleet/messages_test.go
@@ -23,7 +23,7 @@
 		Clock:  publication.Clock{Sum: 1, Digest: 2},
 		Beats:  contact.Beats{List: 1, Counts: []uint32{1, 2}, Age: -1},
 		Switch: revision.Switch{List: 1, Stamp: revision.Stamp{Revision: 4, PublishedAt: now, Digest: "d"}, At: now, Bits: 3},
-		Marks:  []quarantine.Mark{{Fingerprint: 5, Version: 1, Targets: []string{"t"}, Until: now}},
+		Marks:  []quarantine.Mark{{Fingerprint: 5, Version: 1, Losses: []quarantine.Loss{{Target: "t", At: now}}, Until: now}},
 	}
 	data, err := sent.Encode()
 	if err != nil {
@@ -36,6 +36,7 @@
 	got.Switch.Stamp.PublishedAt = got.Switch.Stamp.PublishedAt.UTC()
 	got.Switch.At = got.Switch.At.UTC()
 	got.Marks[0].Until = got.Marks[0].Until.UTC()
+	got.Marks[0].Losses[0].At = got.Marks[0].Losses[0].At.UTC()
 	if !reflect.DeepEqual(got, sent) {
 		t.Fatalf("got %+v\nwant %+v", got, sent)
 	}
--- a/reel/quarantine/quarantine.go
+++ b/reel/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +14,8 @@
 	Term = 60 * time.Second
 	// ClearTerm is how long a fingerprint that ran well is trusted.
 	ClearTerm = 10 * time.Minute
+	// sameLoss is the time within which breaks of one target count as one loss.
+	sameLoss = time.Second
 	// MaxClear bounds the number of trusted fingerprints kept.
 	MaxClear = 1 << 16
 )
@@ -36,12 +39,18 @@
 	return [...]string{"clear", "untried", "suspect", "quarantined"}[verdict]
 }
 
+// Loss is one break of a target while a fingerprint ran on it.
+type Loss struct {
+	Target string    `json:"target" msgpack:"t"`
+	At     time.Time `json:"at" msgpack:"a"`
+}
+
 // Mark is what is known against a fingerprint, as instances tell it to each other.
 type Mark struct {
-	Fingerprint Fingerprint `json:"fingerprint"`
-	Version     uint64      `json:"version"`
-	Targets     []string    `json:"targets"`
-	Until       time.Time   `json:"until"`
+	Fingerprint Fingerprint `json:"fingerprint" msgpack:"f"`
+	Version     uint64      `json:"version" msgpack:"v"`
+	Losses      []Loss      `json:"losses" msgpack:"l"`
+	Until       time.Time   `json:"until" msgpack:"u"`
 }
 
 // Book keeps the marks and the trusted fingerprints; its zero value is ready, and it may be shared.
@@ -68,9 +77,9 @@
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
 	mark, marked := book.marks[fingerprint]
-	if marked && now.Before(mark.Until) && len(mark.Targets) > 0 {
+	if marked && now.Before(mark.Until) && len(mark.Losses) > 0 {
 		switch {
-		case len(mark.Targets) >= MaxLosses:
+		case len(mark.Losses) >= MaxLosses:
 			return Quarantined
 		case !trust.Passed || trust.Version < mark.Version:
 			return Suspect
@@ -94,7 +103,11 @@
 func (book *Book) Lost(fingerprint Fingerprint) []string {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	return book.marks[fingerprint].Targets
+	var targets []string
+	for _, loss := range book.marks[fingerprint].Losses {
+		targets = append(targets, loss.Target)
+	}
+	return targets
 }
 
 // Remaining returns how long the mark on the fingerprint still lasts.
@@ -111,10 +124,7 @@
 	book.init()
 	delete(book.clear, fingerprint)
 	mark := book.current(now, fingerprint)
-	if !slices.Contains(mark.Targets, target) {
-		mark.Targets = append(slices.Clone(mark.Targets), target)
-		slices.Sort(mark.Targets)
-	}
+	mark.Losses = union(mark.Losses, []Loss{{target, now}})
 	mark.Version++
 	mark.Until = now.Add(Term)
 	book.marks[fingerprint] = mark
@@ -127,14 +137,14 @@
 	defer book.mutex.Unlock()
 	book.init()
 	mark, marked := book.marks[fingerprint]
-	if marked && len(mark.Targets) >= MaxLosses && now.Before(mark.Until) {
+	if marked && len(mark.Losses) >= MaxLosses && now.Before(mark.Until) {
 		return Mark{}, false
 	}
 	book.trust(now, fingerprint)
-	if !marked || len(mark.Targets) == 0 {
+	if !marked || len(mark.Losses) == 0 {
 		return Mark{}, false
 	}
-	mark.Targets = nil
+	mark.Losses = nil
 	mark.Version++
 	mark.Until = now.Add(Term)
 	book.marks[fingerprint] = mark
@@ -155,15 +165,15 @@
 	case heard.Version < known.Version:
 		return false
 	case heard.Version == known.Version:
-		merged := union(known.Targets, heard.Targets)
-		if len(merged) == len(known.Targets) {
+		merged := union(known.Losses, heard.Losses)
+		if len(merged) == len(known.Losses) {
 			return false
 		}
-		heard.Targets = merged
-	case len(known.Targets) >= MaxLosses:
-		heard.Targets = union(known.Targets, heard.Targets)
+		heard.Losses = merged
+	case len(known.Losses) >= MaxLosses:
+		heard.Losses = union(known.Losses, heard.Losses)
 	}
-	if len(heard.Targets) > 0 {
+	if len(heard.Losses) > 0 {
 		delete(book.clear, heard.Fingerprint)
 	}
 	book.marks[heard.Fingerprint] = heard
@@ -235,10 +245,15 @@
 	}
 }
 
-func union(a, b []string) []string {
+// union joins losses; breaks of one target within sameLoss are one.
+func union(a, b []Loss) []Loss {
 	merged := slices.Concat(a, b)
-	slices.Sort(merged)
-	return slices.Compact(merged)
+	slices.SortFunc(merged, func(a, b Loss) int {
+		return cmp.Or(cmp.Compare(a.Target, b.Target), a.At.Compare(b.At))
+	})
+	return slices.CompactFunc(merged, func(a, b Loss) bool {
+		return a.Target == b.Target && b.At.Sub(a.At).Abs() < sameLoss
+	})
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/reel/revision/revision.go
+++ b/reel/revision/revision.go
@@ -13,6 +13,8 @@
 	// Settle is how long a majority must have held a switch before it may take force. It is the
 	// longest time that an instance serves without hearing the platform or a majority.
 	Settle = 1500 * time.Millisecond
+	// BehindTerm is how long an instance serves while it knows of a revision that it cannot get.
+	BehindTerm = 500 * time.Millisecond
 )
 
 // Verdict is what became of an offered document.
@@ -38,7 +40,14 @@
 	Preset uint64    `msgpack:"p"` // sum of the preset to come, 0 if none is coming
 	At     time.Time `msgpack:"a"` // instant of the switch
 	Bits   uint16    `msgpack:"b"` // voters known to hold it, one bit for each place
-	Force  uint64    `msgpack:"f"` // revision in force
+	Newest uint64    `msgpack:"n"` // newest revision known to be held anywhere
+	Force  Force     `msgpack:"f"` // newest revision known to be in force anywhere
+}
+
+// Force names a revision that is in force, with the sum of its preset.
+type Force struct {
+	Revision uint64 `msgpack:"r"`
+	Preset   uint64 `msgpack:"p"`
 }
 
 // Electorate is what the machine needs to know of the voters.
@@ -57,6 +66,9 @@
 	coming     Switch
 	since      uint64    // revision that began the coming switch
 	majorityAt time.Time // when this instance first knew that a majority holds the switch
+	force      Force     // newest known to be in force anywhere
+	newest     uint64    // newest known to be held anywhere
+	behindAt   time.Time // since when a revision is known that this instance does not hold
 }
 
 // New returns a machine that holds nothing yet.
@@ -88,6 +100,7 @@
 	}
 	machine.held = doc
 	machine.plan(now)
+	machine.hold()
 	return Held, nil
 }
 
@@ -117,7 +130,9 @@
 
 // Heard takes what a peer knows of a coming switch: the earliest instant and all votes count.
 func (machine *Machine) Heard(now time.Time, heard Switch) {
-	if machine.inForce != nil && machine.coming.Preset != 0 && heard.Force >= machine.coming.Stamp.Revision {
+	machine.learn(now, heard)
+	follows := machine.force.Preset == machine.coming.Preset && machine.force.Revision >= machine.since
+	if machine.inForce != nil && machine.coming.Preset != 0 && follows {
 		machine.follow(now)
 		return
 	}
@@ -138,6 +153,29 @@
 	machine.countVotes(now)
 }
 
+// learn keeps the newest revisions that are held and in force anywhere, and passes them on.
+func (machine *Machine) learn(now time.Time, heard Switch) {
+	if heard.Force.Revision > machine.force.Revision {
+		machine.force = heard.Force
+	}
+	machine.newest = max(machine.newest, heard.Newest)
+	if machine.behindAt.IsZero() && machine.newest > StampOf(machine.held).Revision {
+		machine.behindAt = now
+	}
+}
+
+// hold notes what this instance itself holds and has in force.
+func (machine *Machine) hold() {
+	held := StampOf(machine.held).Revision
+	machine.newest = max(machine.newest, held)
+	if held >= machine.newest {
+		machine.behindAt = time.Time{}
+	}
+	if machine.inForce != nil && machine.inForce.Revision >= machine.force.Revision {
+		machine.force = Force{machine.inForce.Revision, presetSum(machine.inForce)}
+	}
+}
+
 // follow makes a switch due that is already in force elsewhere.
 func (machine *Machine) follow(now time.Time) {
 	if machine.coming.At.After(now) {
@@ -151,9 +189,7 @@
 // Switch returns what to tell peers.
 func (machine *Machine) Switch() Switch {
 	told := machine.coming
-	if machine.inForce != nil {
-		told.Force = machine.inForce.Revision
-	}
+	told.Newest, told.Force = machine.newest, machine.force
 	return told
 }
 
@@ -172,6 +208,7 @@
 	}
 	machine.inForce = machine.held
 	machine.coming = Switch{Stamp: StampOf(machine.held)}
+	machine.hold()
 	return machine.inForce, true
 }
 
@@ -192,10 +229,24 @@
 
 // Until returns the instant from which nothing may be admitted under the revision in force, if one is known.
 func (machine *Machine) Until() (time.Time, bool) {
-	if machine.inForce == nil || machine.coming.Preset == 0 {
-		return time.Time{}, false
+	var until time.Time
+	if machine.inForce != nil && machine.coming.Preset != 0 {
+		until = machine.coming.At
 	}
-	return machine.coming.At, true
+	if !machine.behindAt.IsZero() {
+		until = sooner(until, machine.behindAt.Add(BehindTerm))
+		if machine.force.Revision > StampOf(machine.held).Revision {
+			until = sooner(until, machine.behindAt)
+		}
+	}
+	return until, !until.IsZero()
+}
+
+func sooner(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
 }
 
 func (machine *Machine) vote(now time.Time) {
--- a/shallotreel/holding/held.go
+++ b/shallotreel/holding/held.go
@@ -165,7 +165,7 @@
 // Broke marks a fingerprint and spreads the mark.
 func (judge judge) Broke(now time.Time, fingerprint quarantine.Fingerprint, name string) {
 	mark := judge.holding.book.Broke(now, fingerprint, name)
-	judge.holding.log.Notef("fingerprint %x ran on %s when it broke, %d targets in all", fingerprint, name, len(mark.Targets))
+	judge.holding.log.Notef("fingerprint %x ran on %s when it broke, %d targets in all", fingerprint, name, len(mark.Losses))
 	judge.holding.teller.TellMark(mark)
 }
 
