Make a switch of preset safe against missed and superseded switches, with tests of every part

Change: a document names the revision that chose its preset; an instance that learns of a switch admits under the old preset for at most 0.5 s until it knows a majority for it; a superseded switch guards its instant; an instance that knows of another preset in force admits nothing.

--- a/bench/lab/topology.go
+++ b/bench/lab/topology.go
@@ -115,6 +115,7 @@
 		return nil, errors.Wrap(err, "decode document")
 	}
 	now := time.Now().UTC()
+	chosen := fields["preset_in_force"]
 	fields["revision"] = revision
 	fields["published_at"] = now
 	for _, event := range fields["events"].([]any) {
@@ -130,6 +131,9 @@
 		}
 		merge(fields, over)
 	}
+	if fields["preset_in_force"] != chosen {
+		fields["preset_revision"] = revision
+	}
 	return json.Marshal(fields)
 }
 
--- a/reel/document/document.go
+++ b/reel/document/document.go
@@ -48,6 +48,8 @@
 	Events        []Event   `json:"events" validate:"unique=Name,dive"`
 	Presets       []Preset  `json:"presets" validate:"min=1,unique=Name,dive"`
 	PresetInForce string    `json:"preset_in_force" validate:"required"`
+	// PresetRevision is the revision that last chose the preset in force, 0 if the document does not say.
+	PresetRevision uint64 `json:"preset_revision,omitempty" validate:"ltefield=Revision"`
 
 	digest string
 }
--- a/reel/fleet/harness_test.go
+++ b/reel/fleet/harness_test.go
@@ -29,6 +29,8 @@
 	onTick   func()
 	presets  map[string]int // presets that admit work right now, by count of instances
 	switches []string
+	preset   string // published last
+	chosen   uint64 // revision that chose it
 }
 
 type value struct {
@@ -219,6 +221,9 @@
 }
 
 func (harness *harness) publish(revision uint64, preset string) {
+	if preset != harness.preset {
+		harness.preset, harness.chosen = preset, revision
+	}
 	data := fmt.Sprintf(`{"format":1,"revision":%d,"published_at":"2026-12-03T06:00:00Z","deployment":"test",
 "data_centres":["dc0","dc1","dc2"],"sources":[{"name":"s","slots":3,"connections":30,"connect_cost":"1ms"}],
 "kinds":[{"name":"k","source":"s","operation":"search","weight":1,"deadline":"1s","rule":"coverage","repeatable":true}],
@@ -226,7 +231,7 @@
 {"name":"ordinary","hedge_quantile":0.9,"extra_load":0.05,"queue_per_slot":1,"slot_fraction":1,"canary":true,"retry_after":"1s","address_keep":"5s"},
 {"name":"peak","hedge_quantile":0.9,"extra_load":0.02,"queue_per_slot":1,"slot_fraction":1,"canary":true,"retry_after":"1s","address_keep":"5s"},
 {"name":"maintenance","hedge_quantile":0.9,"extra_load":0.01,"queue_per_slot":1,"slot_fraction":1,"canary":true,"retry_after":"1s","address_keep":"5s"}],
-"preset_in_force":%q}`, revision, preset)
+"preset_in_force":%q,"preset_revision":%d}`, revision, preset, harness.chosen)
 	harness.values[platform.DocumentKey] = value{revision, []byte(data)}
 }
 
--- a/reel/request/request.go
+++ b/reel/request/request.go
@@ -75,6 +75,7 @@
 	choice route.Choice
 	why    Why
 	sent   time.Time
+	ended  bool // canceled by this machine
 }
 
 // New returns the machine of a request.
@@ -431,7 +432,7 @@
 		part.hedgeAt = now.Add(delay)
 	}
 	id := machine.newID()
-	machine.attempts[id] = &attempt{part, choice, why, now}
+	machine.attempts[id] = &attempt{part: part, choice: choice, why: why, sent: now}
 	machine.sent++
 	machine.router.Started(choice.Target, why == First || why == Canary, machine.plan.Preset.ExtraLoad)
 	return []Action{Send{Sub: machine.sub(id, part, choice, why), Choice: choice, Why: why}}
@@ -467,7 +468,8 @@
 func (machine *Machine) cancelPart(part *part) []Action {
 	var actions []Action
 	for id, attempt := range machine.attempts {
-		if attempt.part == part {
+		if attempt.part == part && !attempt.ended {
+			attempt.ended = true
 			actions = append(actions, Cancel{id, attempt.choice})
 		}
 	}
--- /dev/null
+++ b/reel/request/request_test.go
@@ -0,0 +1,391 @@
+package request
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"shallotreel.example/reel/coverage"
+	"shallotreel.example/reel/document"
+	"shallotreel.example/reel/holder"
+	"shallotreel.example/reel/member"
+	"shallotreel.example/reel/quarantine"
+	"shallotreel.example/reel/result"
+	"shallotreel.example/reel/route"
+	"shallotreel.example/reel/target"
+)
+
+var start = time.Date(2026, 12, 3, 6, 0, 0, 0, time.UTC)
+
+func at(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
+
+// fakeRouter offers three replicas of each shard, in order.
+type fakeRouter struct {
+	pin      route.Pin
+	newer    route.Pin
+	budget   int
+	inFlight int
+	gone     map[string]bool // targets that no longer serve the pinned snapshot
+}
+
+func (router *fakeRouter) Choose(_ time.Time, pin route.Pin, shard int, not []string) (route.Choice, bool) {
+	for replica := range 3 {
+		name := fmt.Sprintf("s/%d/%d", shard+1, replica+1)
+		if !slices.Contains(not, name) && !(router.gone[name] && pin.Snapshot == router.pin.Snapshot) {
+			return route.Choice{Target: name, Holder: member.Member{Name: "h"}}, true
+		}
+	}
+	return route.Choice{}, false
+}
+
+func (router *fakeRouter) ChooseFor(now time.Time, pin route.Pin, shard int, _ quarantine.Fingerprint, not []string) (route.Choice, bool) {
+	return router.Choose(now, pin, shard, not)
+}
+
+func (router *fakeRouter) HedgeDelay(time.Time, route.Shard, float64) time.Duration {
+	return 50 * time.Millisecond
+}
+func (router *fakeRouter) Started(string, bool, float64) { router.inFlight++ }
+func (router *fakeRouter) Ended(time.Time, route.Shard, holder.Answer, time.Duration) {
+	router.inFlight--
+}
+func (router *fakeRouter) AvoidHolder(time.Time, string) {}
+func (router *fakeRouter) Spend() bool {
+	router.budget--
+	return router.budget >= 0
+}
+
+func (router *fakeRouter) Pin(time.Time) (route.Pin, bool) {
+	if router.newer.Snapshot != 0 {
+		return router.newer, true
+	}
+	return router.pin, true
+}
+
+func pinOf(snapshot uint64, shards int) route.Pin {
+	pin := route.Pin{Snapshot: snapshot, Map: 1}
+	width := coverage.KeySpace / uint64(shards)
+	for i := range shards {
+		pin.Shards = append(pin.Shards, route.Shard{Name: fmt.Sprintf("s/%d", i+1),
+			Range: coverage.Range{From: uint64(i) * width, To: uint64(i+1) * width}})
+	}
+	pin.Shards[shards-1].Range.To = coverage.KeySpace
+	return pin
+}
+
+// fataler is what tests of both kinds have.
+type fataler interface {
+	Fatalf(format string, args ...any)
+}
+
+// session drives one machine and keeps what it sent.
+type session struct {
+	t        fataler
+	machine  *Machine
+	router   *fakeRouter
+	book     *quarantine.Book
+	sent     []holder.Sub
+	whys     []Why
+	canceled []target.Attempt
+	outcome  *Outcome
+}
+
+func plan(rule document.Rule, operation document.Operation) Plan {
+	return Plan{RequestID: "r", From: "e", Query: "q", Fingerprint: 7, Pin: pinOf(41, 4), Deadline: at(1000),
+		Kind: document.Kind{Name: "k", Operation: operation, Weight: 1, Deadline: document.Duration(time.Second),
+			Rule: rule, Patience: document.Duration(150 * time.Millisecond), Repeatable: operation != document.Record},
+		Preset: document.Preset{HedgeQuantile: 0.95, ExtraLoad: 0.05, Canary: true}}
+}
+
+func begin(t fataler, plan Plan, trusted bool) *session {
+	session := &session{t: t, router: &fakeRouter{pin: plan.Pin, budget: 10, gone: map[string]bool{}}, book: &quarantine.Book{}}
+	if trusted {
+		session.book.Passed(start, plan.Fingerprint)
+	}
+	plan.Marks = session.book
+	if plan.Kind.Rule == document.Tail && plan.Patience.IsZero() {
+		plan.Patience = at(150)
+	}
+	number := uint64(0)
+	session.machine = New(plan, session.router, func() target.Attempt {
+		number++
+		var id target.Attempt
+		binary.BigEndian.PutUint64(id[:], number)
+		return id
+	})
+	session.take(session.machine.Begin(start))
+	return session
+}
+
+func (session *session) take(actions []Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case Send:
+			session.sent = append(session.sent, action.Sub)
+			session.whys = append(session.whys, action.Why)
+		case Cancel:
+			session.canceled = append(session.canceled, action.Attempt)
+		case Finish:
+			if session.outcome != nil {
+				session.t.Fatalf("a second final answer: %+v", action.Outcome)
+			}
+			session.outcome = &action.Outcome
+		}
+	}
+}
+
+func (session *session) answer(millis int, sub holder.Sub, code result.Code) {
+	answer := holder.Answer{Attempt: sub.Request.Attempt, Target: sub.Target, Code: code, Ran: code.Ran()}
+	if code == result.OK {
+		answer.Snapshot, answer.Range = sub.Request.Snapshot, sub.Request.Range
+		answer.Hits = []target.Hit{{ID: fmt.Sprint(sub.Request.Snapshot, sub.Request.Range.From), Score: 1}}
+	}
+	actions, _ := session.machine.Answered(at(millis), answer)
+	session.take(actions)
+}
+
+func (session *session) wake(millis int) {
+	session.take(session.machine.Wake(at(millis)))
+}
+
+func (session *session) assertSent(t *testing.T, whys ...Why) {
+	t.Helper()
+	if !slices.Equal(session.whys, whys) {
+		t.Fatalf("sent %v, want %v", session.whys, whys)
+	}
+}
+
+func (session *session) assertOutcome(t *testing.T, code result.Code, ran result.Ran, fraction float64) {
+	t.Helper()
+	if session.outcome == nil {
+		t.Fatal("no final answer")
+	}
+	got := *session.outcome
+	if got.Code != code || got.Ran != ran || got.Coverage.Fraction != fraction {
+		t.Fatalf("got %v ran=%s coverage %v (%s), want %v ran=%s coverage %v", got.Code, got.Ran,
+			got.Coverage.Fraction, got.Detail, code, ran, fraction)
+	}
+}
+
+func TestSearchMergesAllShards(t *testing.T) {
+	session := begin(t, plan(document.Coverage, document.Search), true)
+	session.assertSent(t, First, First, First, First)
+	for i, sub := range session.sent {
+		session.answer(10+i, sub, result.OK)
+	}
+	session.assertOutcome(t, result.OK, result.RanYes, 1)
+}
+
+func TestUntriedRequestAsksOneShardFirst(t *testing.T) {
+	session := begin(t, plan(document.Coverage, document.Search), false)
+	session.assertSent(t, Canary)
+	session.answer(10, session.sent[0], result.OK)
+	session.assertSent(t, Canary, First, First, First)
+}
+
+func TestTailTakesWhatItHasAndCoverageWaits(t *testing.T) {
+	t.Run("tail", func(t *testing.T) {
+		session := begin(t, plan(document.Tail, document.Search), true)
+		session.router.budget = 0
+		for _, sub := range session.sent[:3] {
+			session.answer(10, sub, result.OK)
+		}
+		session.wake(150)
+		session.assertOutcome(t, result.Partial, result.RanYes, 0.75)
+	})
+	t.Run("coverage", func(t *testing.T) {
+		session := begin(t, plan(document.Coverage, document.Search), true)
+		session.router.budget = 0
+		for _, sub := range session.sent[:3] {
+			session.answer(10, sub, result.OK)
+		}
+		session.wake(150)
+		if session.outcome != nil {
+			t.Fatal("answered before its deadline without whole coverage")
+		}
+		session.answer(900, session.sent[3], result.OK)
+		session.assertOutcome(t, result.OK, result.RanYes, 1)
+	})
+}
+
+func TestHedgeGoesToAnotherReplicaAndCancelsTheLoser(t *testing.T) {
+	session := begin(t, plan(document.Coverage, document.Search), true)
+	for _, sub := range session.sent[1:4] {
+		session.answer(10, sub, result.OK)
+	}
+	session.wake(50)
+	session.assertSent(t, First, First, First, First, Hedge)
+	if session.sent[4].Target == session.sent[0].Target {
+		t.Fatalf("hedged to the same target %s", session.sent[4].Target)
+	}
+	session.answer(60, session.sent[4], result.OK)
+	session.assertOutcome(t, result.OK, result.RanYes, 1)
+	if !slices.Equal(session.canceled, []target.Attempt{session.sent[0].Request.Attempt}) {
+		t.Fatalf("canceled %v", session.canceled)
+	}
+}
+
+func TestNoHedgeWithoutBudget(t *testing.T) {
+	session := begin(t, plan(document.Coverage, document.Search), true)
+	session.router.budget = 0
+	session.wake(60)
+	session.assertSent(t, First, First, First, First)
+}
+
+func TestRetiredSnapshotRestartsTheWholeRequest(t *testing.T) {
+	session := begin(t, plan(document.Coverage, document.Search), true)
+	session.answer(5, session.sent[0], result.OK)
+	for replica := range 3 {
+		session.router.gone[fmt.Sprintf("s/2/%d", replica+1)] = true
+	}
+	session.router.newer = pinOf(42, 4)
+	session.answer(6, session.sent[1], result.SnapshotGone)
+	if len(session.sent) != 8 {
+		t.Fatalf("sent %d sub-requests, want 4 more on the newer snapshot", len(session.sent))
+	}
+	session.answer(7, session.sent[2], result.OK) // late, of the old snapshot
+	for _, sub := range session.sent[4:] {
+		session.answer(20, sub, result.OK)
+	}
+	session.assertOutcome(t, result.OK, result.RanYes, 1)
+	for _, hit := range session.outcome.Hits {
+		if hit.ID[:2] != "42" {
+			t.Fatalf("hit %s is not of snapshot 42", hit.ID)
+		}
+	}
+}
+
+func TestRefusalsProveThatNothingRan(t *testing.T) {
+	session := begin(t, plan(document.Coverage, document.Search), true)
+	session.router.budget = 0
+	for i := 0; i < len(session.sent); i++ {
+		session.answer(1, session.sent[i], result.Overloaded)
+	}
+	session.assertOutcome(t, result.Overloaded, result.RanNo, 0)
+}
+
+func TestRecordRunsOnceAndSaysUnknown(t *testing.T) {
+	session := begin(t, plan(document.Tail, document.Record), true)
+	session.assertSent(t, First)
+	session.wake(60)
+	session.assertSent(t, First)
+	session.answer(70, session.sent[0], result.Broken)
+	session.assertOutcome(t, result.Broken, result.RanUnknown, 0)
+	session.assertSent(t, First)
+}
+
+func TestRecordMovesOnAfterAProof(t *testing.T) {
+	session := begin(t, plan(document.Tail, document.Record), true)
+	session.answer(1, session.sent[0], result.ConnectRefused)
+	session.wake(2)
+	session.assertSent(t, First, Retry)
+	session.answer(10, session.sent[1], result.OK)
+	session.assertOutcome(t, result.OK, result.RanYes, 1)
+}
+
+func TestSuspectRunsOnceAloneOnAnotherTarget(t *testing.T) {
+	session := begin(t, plan(document.Coverage, document.Search), false)
+	first := session.sent[0]
+	session.answer(5, first, result.Broken)
+	session.assertSent(t, Canary)
+	session.wake(300)
+	session.assertSent(t, Canary, Trial)
+	if trial := session.sent[1]; !trial.Alone || trial.Target == first.Target {
+		t.Fatalf("trial %+v after %s", trial, first.Target)
+	}
+	session.wake(400)
+	session.assertSent(t, Canary, Trial)
+	session.answer(410, session.sent[1], result.Broken)
+	session.assertOutcome(t, result.Quarantined, result.RanUnknown, 0)
+}
+
+func TestTrialGivesWayToAMarkHeardMeanwhile(t *testing.T) {
+	session := begin(t, plan(document.Coverage, document.Search), false)
+	session.answer(5, session.sent[0], result.Broken)
+	session.book.Broke(at(6), 7, session.sent[0].Target)
+	session.book.Broke(at(100), 7, "s/4/2")
+	session.wake(300)
+	session.assertSent(t, Canary)
+	session.assertOutcome(t, result.Quarantined, result.RanUnknown, 0)
+}
+
+func TestHangUpCancelsEverything(t *testing.T) {
+	session := begin(t, plan(document.Coverage, document.Search), true)
+	session.take(session.machine.HangUp())
+	if len(session.canceled) != 4 {
+		t.Fatalf("canceled %d of 4 attempts", len(session.canceled))
+	}
+}
+
+// TestAnyAnswers draws answers that are late, doubled, crossed or of another snapshot.
+func TestAnyAnswers(t *testing.T) {
+	codes := []result.Code{result.OK, result.OK, result.OK, result.Overloaded, result.Draining, result.Broken,
+		result.SnapshotGone, result.ConnectRefused, result.HolderLost, result.Mismatch, result.Suspect, result.TooLate}
+	rapid.Check(t, func(t *rapid.T) {
+		rule := rapid.SampledFrom([]document.Rule{document.Tail, document.Coverage}).Draw(t, "rule")
+		operation := rapid.SampledFrom([]document.Operation{document.Search, document.Fetch, document.Record}).Draw(t, "operation")
+		session := begin(t, plan(rule, operation), rapid.Bool().Draw(t, "trusted"))
+		session.router.budget = rapid.IntRange(0, 3).Draw(t, "budget")
+		ran := map[target.Attempt]bool{} // attempts that a target may have run
+		answers := map[target.Attempt]result.Code{}
+		millis := 0
+		for session.outcome == nil {
+			millis += rapid.IntRange(0, 60).Draw(t, "pause")
+			if len(session.sent) > 0 && millis < 1000 && rapid.Bool().Draw(t, "answers") {
+				sub := rapid.SampledFrom(session.sent).Draw(t, "sub")
+				code := rapid.SampledFrom(codes).Draw(t, "code")
+				if first, answered := answers[sub.Request.Attempt]; answered {
+					code = first // a holder never takes its word back
+				}
+				answers[sub.Request.Attempt] = code
+				if code.Ran() != result.RanNo {
+					ran[sub.Request.Attempt] = true
+				}
+				if rapid.IntRange(0, 9).Draw(t, "crossed") == 0 {
+					sub.Request.Range = coverage.Range{From: 1, To: 2}
+				}
+				session.answer(millis, sub, code)
+				session.answer(millis, sub, code) // doubled
+			} else {
+				session.wake(millis)
+			}
+			if millis > 1100 {
+				t.Fatal("no final answer by the deadline")
+			}
+		}
+		check(t, session, operation, ran)
+	})
+}
+
+func check(t *rapid.T, session *session, operation document.Operation, ran map[target.Attempt]bool) {
+	outcome := *session.outcome
+	if len(session.sent) > 4*maxTries*(maxRestarts+1) {
+		t.Fatalf("sent %d sub-requests", len(session.sent))
+	}
+	if operation == document.Record && len(ran) > 1 {
+		t.Fatalf("a record may have run %d times", len(ran))
+	}
+	if outcome.Ran == result.RanNo && len(ran) > 0 {
+		t.Fatalf("says %q although an attempt may have run", outcome.Ran)
+	}
+	if operation != document.Search {
+		return
+	}
+	seen := map[string]bool{}
+	for _, hit := range outcome.Hits {
+		if seen[hit.ID] {
+			t.Fatalf("shard of %s is counted twice", hit.ID)
+		}
+		seen[hit.ID] = true
+		if hit.ID[:2] != fmt.Sprint(outcome.Snapshot) {
+			t.Fatalf("hit %s in an answer of snapshot %d", hit.ID, outcome.Snapshot)
+		}
+	}
+	if want := float64(len(seen)) / 4; outcome.Coverage.Fraction != want {
+		t.Fatalf("states coverage %v with hits of %d shards", outcome.Coverage.Fraction, len(seen))
+	}
+}
--- a/reel/revision/revision.go
+++ b/reel/revision/revision.go
@@ -13,6 +13,8 @@
 	// Settle is how long a majority must have held a switch before it may take force. It is the
 	// longest time that an instance serves without hearing the platform or a majority.
 	Settle = 1500 * time.Millisecond
+	// WayMargin is kept for the way of a switch between instances.
+	WayMargin = 200 * time.Millisecond
 	// BehindTerm is how long an instance serves while it knows of a revision that it cannot get.
 	BehindTerm = 500 * time.Millisecond
 )
@@ -37,17 +39,17 @@
 type Switch struct {
 	List   uint64    `msgpack:"l"` // version of the list that the voters come from
 	Stamp  Stamp     `msgpack:"s"` // newest revision held
-	Preset uint64    `msgpack:"p"` // sum of the preset to come, 0 if none is coming
+	Choice Choice    `msgpack:"p"` // preset to come, zero if none is coming
 	At     time.Time `msgpack:"a"` // instant of the switch
 	Bits   uint16    `msgpack:"b"` // voters known to hold it, one bit for each place
 	Newest uint64    `msgpack:"n"` // newest revision known to be held anywhere
 	Force  Force     `msgpack:"f"` // newest revision known to be in force anywhere
 }
 
-// Force names a revision that is in force, with the sum of its preset.
+// Force names a revision that is in force, with its choice of preset.
 type Force struct {
 	Revision uint64 `msgpack:"r"`
-	Preset   uint64 `msgpack:"p"`
+	Choice   Choice `msgpack:"p"`
 }
 
 // Electorate is what the machine needs to know of the voters.
@@ -64,11 +66,13 @@
 	inForce    *document.Document
 	held       *document.Document
 	coming     Switch
-	since      uint64    // revision that began the coming switch
+	guard      time.Time // instant at which a superseded switch may take force elsewhere
+	alone      time.Time // instant at which this switch may take force elsewhere while no majority is known
 	majorityAt time.Time // when this instance first knew that a majority holds the switch
 	force      Force     // newest known to be in force anywhere
 	newest     uint64    // newest known to be held anywhere
 	behindAt   time.Time // since when a revision is known that this instance does not hold
+	outdatedAt time.Time // since when another choice of preset is known to be in force elsewhere
 }
 
 // New returns a machine that holds nothing yet.
@@ -98,46 +102,64 @@
 	case order < 0:
 		return Older, nil
 	}
+	before := machine.held
 	machine.held = doc
-	machine.plan(now)
+	machine.plan(now, before)
 	machine.hold()
 	return Held, nil
 }
 
 // plan decides how the held revision takes force: at once, or with a switch of preset.
-func (machine *Machine) plan(now time.Time) {
-	sum := presetSum(machine.held)
-	if machine.inForce != nil && presetSum(machine.inForce) == sum {
-		machine.inForce = machine.held
-		machine.coming = Switch{Stamp: StampOf(machine.held)}
+func (machine *Machine) plan(now time.Time, before *document.Document) {
+	stamp, choice := StampOf(machine.held), choiceOf(machine.held)
+	switch {
+	case machine.coming.Choice == choice:
+		machine.coming.Stamp = stamp
 		return
-	}
-	if machine.coming.Preset == sum {
-		machine.coming.Stamp = StampOf(machine.held)
+	case machine.inForce == nil:
+		machine.begin(stamp, choice, now)
+		return
+	case machine.coming.Choice == Choice{} && choiceOf(machine.inForce) == choice:
+		machine.inForce = machine.held
+		machine.coming = Switch{Stamp: stamp}
 		return
 	}
 	at := now.Add(Lead)
-	if machine.inForce == nil {
-		at = now
+	if machine.coming.Choice != (Choice{}) {
+		// The superseded switch may still take force where its successor is not known.
+		machine.guard = sooner(machine.guard, machine.coming.At)
+	}
+	if choice.Revision > before.Revision+1 {
+		// A switch between the two may have been missed, though not for longer than Settle.
+		machine.guard = sooner(machine.guard, now.Add(Lead-Settle-WayMargin))
+	}
+	if !machine.guard.IsZero() && choice.Sum == choiceOf(machine.inForce).Sum {
+		at = machine.guard
 	}
+	machine.begin(stamp, choice, at)
+	machine.alone = now.Add(Lead - Settle - WayMargin)
+}
+
+// begin starts a switch that takes force at the instant, or at the later one that the document names.
+func (machine *Machine) begin(stamp Stamp, choice Choice, at time.Time) {
 	if machine.held.InForceAt.After(at) {
 		at = machine.held.InForceAt
 	}
-	machine.coming = Switch{Stamp: StampOf(machine.held), Preset: sum, At: at}
-	machine.since = machine.held.Revision
+	machine.coming = Switch{Stamp: stamp, Choice: choice, At: at}
 	machine.majorityAt = time.Time{}
 }
 
 // Heard takes what a peer knows of a coming switch: the earliest instant and all votes count.
 func (machine *Machine) Heard(now time.Time, heard Switch) {
 	machine.learn(now, heard)
-	follows := machine.force.Preset == machine.coming.Preset && machine.force.Revision >= machine.since
-	if machine.inForce != nil && machine.coming.Preset != 0 && follows {
+	if machine.coming.Choice == (Choice{}) {
+		return
+	}
+	if machine.inForce != nil && machine.force.Choice == machine.coming.Choice {
 		machine.follow(now)
 		return
 	}
-	same := heard.Preset != 0 && heard.Preset == machine.coming.Preset && heard.Stamp.Revision >= machine.since
-	if !same {
+	if heard.Choice != machine.coming.Choice {
 		return
 	}
 	switch {
@@ -158,6 +180,11 @@
 	if heard.Force.Revision > machine.force.Revision {
 		machine.force = heard.Force
 	}
+	outdated := machine.inForce != nil && machine.force.Revision > machine.inForce.Revision &&
+		machine.force.Choice != choiceOf(machine.inForce)
+	if outdated && machine.outdatedAt.IsZero() {
+		machine.outdatedAt = now
+	}
 	machine.newest = max(machine.newest, heard.Newest)
 	if machine.behindAt.IsZero() && machine.newest > StampOf(machine.held).Revision {
 		machine.behindAt = now
@@ -172,7 +199,8 @@
 		machine.behindAt = time.Time{}
 	}
 	if machine.inForce != nil && machine.inForce.Revision >= machine.force.Revision {
-		machine.force = Force{machine.inForce.Revision, presetSum(machine.inForce)}
+		machine.outdatedAt = time.Time{}
+		machine.force = Force{machine.inForce.Revision, choiceOf(machine.inForce)}
 	}
 }
 
@@ -195,7 +223,7 @@
 
 // Tick lets time pass and returns the revision that takes force now, if one does.
 func (machine *Machine) Tick(now time.Time, joined bool) (*document.Document, bool) {
-	if machine.held == nil || machine.coming.Preset == 0 {
+	if machine.held == nil || machine.coming.Choice == (Choice{}) {
 		return nil, false
 	}
 	machine.vote(now)
@@ -208,6 +236,7 @@
 	}
 	machine.inForce = machine.held
 	machine.coming = Switch{Stamp: StampOf(machine.held)}
+	machine.guard = time.Time{}
 	machine.hold()
 	return machine.inForce, true
 }
@@ -217,7 +246,7 @@
 	if machine.inForce == nil {
 		return machine.coming.At, true
 	}
-	if machine.coming.Preset == 0 || machine.majorityAt.IsZero() {
+	if machine.coming.Choice == (Choice{}) || machine.majorityAt.IsZero() {
 		return time.Time{}, false
 	}
 	settled := machine.majorityAt.Add(Settle)
@@ -230,8 +259,14 @@
 // Until returns the instant from which nothing may be admitted under the revision in force, if one is known.
 func (machine *Machine) Until() (time.Time, bool) {
 	var until time.Time
-	if machine.inForce != nil && machine.coming.Preset != 0 {
+	if machine.inForce != nil && machine.coming.Choice != (Choice{}) {
 		until = machine.coming.At
+		if !machine.guard.IsZero() {
+			until = sooner(until, machine.guard)
+		}
+		if machine.majorityAt.IsZero() && !machine.alone.IsZero() {
+			until = sooner(until, machine.alone)
+		}
 	}
 	if !machine.behindAt.IsZero() {
 		until = sooner(until, machine.behindAt.Add(BehindTerm))
@@ -239,6 +274,9 @@
 			until = sooner(until, machine.behindAt)
 		}
 	}
+	if !machine.outdatedAt.IsZero() {
+		until = sooner(until, machine.outdatedAt)
+	}
 	return until, !until.IsZero()
 }
 
--- a/reel/revision/stamp.go
+++ b/reel/revision/stamp.go
@@ -34,11 +34,17 @@
 	)
 }
 
-// presetSum identifies the preset that a document puts in force, by its name and content.
-func presetSum(doc *document.Document) uint64 {
+// Choice identifies one decision of the operators to put a preset in force.
+type Choice struct {
+	Revision uint64 `msgpack:"r"` // that made the decision, 0 if the document does not say
+	Sum      uint64 `msgpack:"s"` // of the preset's name and content
+}
+
+// choiceOf returns the decision that the document carries.
+func choiceOf(doc *document.Document) Choice {
 	data, err := json.Marshal(doc.Preset())
 	if err != nil {
-		return 0 // a preset holds only plain fields
+		return Choice{} // a preset holds only plain fields
 	}
-	return xxhash.Sum64(data)
+	return Choice{doc.PresetRevision, xxhash.Sum64(data)}
 }
