--- a/reel/fleet/fleet.go
+++ b/reel/fleet/fleet.go
@@ -129,7 +129,7 @@
 	}
 	output := machine.wrap(now, machine.members.Merge(now, reply.Members))
 	for _, value := range reply.Values {
-		output.add(machine.offer(now, value, "peer "+from.String()))
+		output.add(machine.offer(now, value, "peer "+from.String(), false))
 	}
 	machine.revision.Heard(now, reply.Switch)
 	output.add(machine.mergeMarks(now, reply.Marks))
@@ -141,13 +141,14 @@
 // Read takes an answer of the platform's service; data is nil if the value did not change.
 func (machine *Machine) Read(now time.Time, key string, version uint64, data []byte) Output {
 	held, known := machine.store.Get(key)
-	if !known || version >= held.Version {
+	lapsed := now.After(machine.contact.GoodUntil())
+	if key == platform.DocumentKey && !machine.contact.Stale(now) && (!known || version >= held.Version) {
 		machine.contact.HeardPlatform(now)
 	}
 	if data == nil {
 		return Output{}
 	}
-	return machine.offer(now, publication.Value{Key: key, Version: version, Data: data}, "platform")
+	return machine.offer(now, publication.Value{Key: key, Version: version, Data: data}, "platform", lapsed)
 }
 
 // TellMark spreads a mark that this instance made, at once.
@@ -243,7 +244,7 @@
 	return machine.joined || now.Sub(machine.started) >= joinTerm
 }
 
-func (machine *Machine) offer(now time.Time, value publication.Value, source string) Output {
+func (machine *Machine) offer(now time.Time, value publication.Value, source string, lapsed bool) Output {
 	var output Output
 	note := func(format string, args ...any) {
 		output.Notes = append(output.Notes, fmt.Sprintf(format, args...)+" from "+source)
@@ -252,7 +253,7 @@
 		return output
 	}
 	if value.Key == platform.DocumentKey {
-		verdict, err := machine.revision.Offer(now, value.Data)
+		verdict, err := machine.revision.Offer(now, value.Data, lapsed)
 		switch verdict {
 		case revision.Held:
 			machine.store.Set(value)
--- a/reel/quarantine/quarantine.go
+++ b/reel/quarantine/quarantine.go
@@ -58,6 +58,7 @@
 	mutex sync.Mutex
 	marks map[Fingerprint]Mark
 	clear map[Fingerprint]time.Time
+	since map[Fingerprint]time.Time // when each mark last changed here
 	order []Fingerprint // trusted fingerprints, oldest first
 }
 
@@ -92,6 +93,13 @@
 	return Untried
 }
 
+// Changed returns when the mark on the fingerprint last changed here.
+func (book *Book) Changed(fingerprint Fingerprint) time.Time {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	return book.since[fingerprint]
+}
+
 // Version returns the version of the mark on the fingerprint, 0 without one.
 func (book *Book) Version(fingerprint Fingerprint) uint64 {
 	book.mutex.Lock()
@@ -127,7 +135,7 @@
 	mark.Losses = union(mark.Losses, []Loss{{target, now}})
 	mark.Version++
 	mark.Until = now.Add(Term)
-	book.marks[fingerprint] = mark
+	book.set(now, mark)
 	return mark
 }
 
@@ -147,7 +155,7 @@
 	mark.Losses = nil
 	mark.Version++
 	mark.Until = now.Add(Term)
-	book.marks[fingerprint] = mark
+	book.set(now, mark)
 	return mark, true
 }
 
@@ -176,7 +184,7 @@
 	if len(heard.Losses) > 0 {
 		delete(book.clear, heard.Fingerprint)
 	}
-	book.marks[heard.Fingerprint] = heard
+	book.set(now, heard)
 	return true
 }
 
@@ -206,6 +214,7 @@
 	for fingerprint, mark := range book.marks {
 		if !now.Before(mark.Until) {
 			delete(book.marks, fingerprint)
+			delete(book.since, fingerprint)
 		}
 	}
 	for fingerprint, until := range book.clear {
@@ -219,9 +228,15 @@
 	})
 }
 
+func (book *Book) set(now time.Time, mark Mark) {
+	book.marks[mark.Fingerprint] = mark
+	book.since[mark.Fingerprint] = now
+}
+
 func (book *Book) init() {
 	if book.marks == nil {
 		book.marks = map[Fingerprint]Mark{}
+		book.since = map[Fingerprint]time.Time{}
 		book.clear = map[Fingerprint]time.Time{}
 	}
 }
--- a/reel/request/messages.go
+++ b/reel/request/messages.go
@@ -32,6 +32,7 @@
 	Judge(now time.Time, fingerprint quarantine.Fingerprint) quarantine.Verdict
 	Version(fingerprint quarantine.Fingerprint) uint64
 	Lost(fingerprint quarantine.Fingerprint) []string
+	Changed(fingerprint quarantine.Fingerprint) time.Time
 }
 
 // Router chooses targets and keeps the budget of extra attempts.
--- a/reel/request/request.go
+++ b/reel/request/request.go
@@ -17,7 +17,7 @@
 const (
 	maxRestarts  = 3
 	maxTries     = 6 // attempts for one shard
-	trialDelay   = 250 * time.Millisecond
+	trialDelay   = 250 * time.Millisecond // after the last change of a mark, for it to reach all instances
 	backoffFirst = 20 * time.Millisecond
 	backoffMost  = 500 * time.Millisecond
 	answerMargin = 5 * time.Millisecond // between the last moment to answer and the deadline
@@ -46,6 +46,12 @@
 	finished  bool
 }
 
+// Reasons why a request ends before all shards have answered.
+const (
+	reasonDeadline = "deadline"
+	reasonPatience = "patience"
+)
+
 // mode says how freely the request may fan out.
 type mode int
 
@@ -104,7 +110,7 @@
 	case quarantine.Quarantined:
 		return machine.end(result.Quarantined, "the request crashed too many targets")
 	case quarantine.Suspect:
-		machine.mode, machine.trialAt = trial, now
+		machine.mode = trial
 	case quarantine.Untried:
 		if machine.plan.Preset.Canary && len(machine.parts) > 1 {
 			machine.mode = canary
@@ -118,6 +124,9 @@
 func (machine *Machine) consult(now time.Time) {
 	machine.verdict = max(machine.verdict, machine.plan.Marks.Judge(now, machine.plan.Fingerprint))
 	machine.version = max(machine.version, machine.plan.Marks.Version(machine.plan.Fingerprint))
+	if ready := machine.plan.Marks.Changed(machine.plan.Fingerprint).Add(trialDelay); ready.After(machine.trialAt) {
+		machine.trialAt = ready
+	}
 	for _, target := range machine.plan.Marks.Lost(machine.plan.Fingerprint) {
 		if !slices.Contains(machine.lost, target) {
 			machine.lost = append(machine.lost, target)
@@ -189,9 +198,9 @@
 	part.hits = answer.Hits
 	if attempt.why == Trial {
 		machine.version++
-		machine.verdict = quarantine.Clear
 		machine.restartPatience(now)
 	}
+	machine.verdict = quarantine.Clear
 	if machine.mode != open {
 		machine.fanOut()
 	}
@@ -222,6 +231,9 @@
 	if part.done {
 		return nil
 	}
+	if attempt.why == Trial && answer.Ran == result.RanNo {
+		machine.trials--
+	}
 	if answer.Ran != result.RanNo && !machine.plan.Kind.Repeatable {
 		return machine.end(answer.Code, "the request may have run")
 	}
@@ -282,7 +294,7 @@
 		machine.lost = append(machine.lost, lost)
 	}
 	if machine.mode == trial && machine.trials > 0 || len(machine.lost) >= quarantine.MaxLosses {
-		return machine.end(result.Suspect, "the request is suspected to crash targets")
+		return machine.endSuspect("the request is suspected to crash targets")
 	}
 	var actions []Action
 	for _, part := range machine.parts {
@@ -294,7 +306,7 @@
 	machine.trialAt = now.Add(trialDelay)
 	machine.verdict = quarantine.Suspect
 	if machine.trialAt.After(machine.lastMoment()) {
-		return append(actions, machine.end(result.Suspect, "no time is left for a trial")...)
+		return append(actions, machine.endSuspect("no time is left for a trial")...)
 	}
 	return actions
 }
@@ -327,10 +339,10 @@
 		return nil
 	}
 	if !now.Before(machine.lastMoment()) {
-		return machine.endWithWhatIsThere("deadline")
+		return machine.endWithWhatIsThere(reasonDeadline)
 	}
 	if machine.patienceOver(now) {
-		return machine.endWithWhatIsThere("patience")
+		return machine.endWithWhatIsThere(reasonPatience)
 	}
 	var actions []Action
 	switch machine.mode {
@@ -377,15 +389,31 @@
 
 // advanceCanary keeps to one shard, the next one if the first cannot be answered.
 func (machine *Machine) advanceCanary(now time.Time) []Action {
+	part := machine.firstOpen()
+	if part.dead {
+		return nil
+	}
+	return machine.advance(now, part)
+}
+
+// firstOpen returns the first unanswered shard in the order of the fingerprint, which is the same at all entries.
+func (machine *Machine) firstOpen() *part {
 	first := int(uint64(machine.plan.Fingerprint) % uint64(len(machine.parts)))
 	for i := range machine.parts {
 		part := machine.parts[(first+i)%len(machine.parts)]
-		if part.dead {
-			continue
+		if !part.dead && !part.done {
+			return part
 		}
-		return machine.advance(now, part)
 	}
-	return nil
+	return machine.parts[first]
+}
+
+// endSuspect answers with what was there before the suspicion, or not at all.
+func (machine *Machine) endSuspect(detail string) []Action {
+	if machine.covered() > 0 {
+		return machine.endWithWhatIsThere(detail)
+	}
+	return machine.end(result.Suspect, detail)
 }
 
 func (machine *Machine) advanceTrial(now time.Time) []Action {
@@ -393,17 +421,19 @@
 		return nil
 	}
 	if machine.trials > 0 {
-		return machine.end(result.Suspect, "the trial of the request did not run")
+		return machine.endSuspect("the trial of the request brought no answer")
 	}
 	machine.consult(now)
 	if machine.verdict == quarantine.Quarantined || len(machine.lost) >= quarantine.MaxLosses {
 		return machine.end(result.Quarantined, "the request crashed too many targets")
 	}
+	if now.Before(machine.trialAt) {
+		return nil
+	}
 	machine.trials++
-	part := machine.parts[int(uint64(machine.plan.Fingerprint)%uint64(len(machine.parts)))]
-	actions := machine.try(now, part, Trial)
+	actions := machine.try(now, machine.firstOpen(), Trial)
 	if len(actions) == 0 {
-		return machine.end(result.Suspect, "no target is free for a trial")
+		return machine.endSuspect("no target is left for a trial")
 	}
 	return actions
 }
@@ -520,6 +550,8 @@
 		return machine.end(result.Overloaded, "targets are overloaded")
 	case machine.mayHaveRun():
 		return machine.end(result.DeadlineExceeded, "no shard answered: "+reason)
+	case machine.sent == 0 && reason == reasonDeadline:
+		return machine.end(result.TooLate, "no time was left")
 	case machine.sent == 0:
 		return machine.end(result.NoTarget, "no target serves the snapshot")
 	default:
--- a/reel/revision/revision.go
+++ b/reel/revision/revision.go
@@ -90,8 +90,9 @@
 	return machine.held
 }
 
-// Offer takes a document read from the platform or a peer; it is held only if it is newer.
-func (machine *Machine) Offer(now time.Time, data []byte) (Verdict, error) {
+// Offer takes a document read from the platform or a peer; it is held only if it is newer. An instance
+// whose contact had lapsed admits nothing more under its old preset.
+func (machine *Machine) Offer(now time.Time, data []byte, lapsed bool) (Verdict, error) {
 	doc, err := document.Parse(data)
 	if err != nil {
 		return Invalid, err
@@ -105,6 +106,9 @@
 	before := machine.held
 	machine.held = doc
 	machine.plan(now, before)
+	if lapsed {
+		machine.alone = now
+	}
 	machine.hold()
 	return Held, nil
 }
--- a/reel/revision/revision_test.go
+++ b/reel/revision/revision_test.go
@@ -37,7 +37,7 @@
 
 func offer(t *testing.T, machine *Machine, now time.Time, data []byte, want Verdict) {
 	t.Helper()
-	if got, err := machine.Offer(now, data); got != want {
+	if got, err := machine.Offer(now, data, false); got != want {
 		t.Fatalf("offer is %v (%v), want %v", got, err, want)
 	}
 }
