Let callers notice a frozen instance and refuse until targets are known

Cause: with one instance frozen for 10 s, 3 of 2,898 requests had no answer and p99 was 1,014 ms: the client gave a silent instance half of its time, asked it again for addresses with a limit of 1 s, and a request whose ticket the frozen instance owns was forwarded to it until the client gave up. Change: the client checks each 250 ms that the instance it waits for lives, and asks failed ones last; a ticket whose owner is suspected is answered at once as unknown; requests carry the client's deadline; an instance that is not prepared refuses as not ready and names others.

--- a/reel/caller/client.go
+++ b/reel/caller/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -9,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,11 +21,16 @@
 
 const (
 	maxAnswerSize  = 16 << 20 // bytes
-	addressTimeout = time.Second
+	addressTimeout = 300 * time.Millisecond
 	idleConns      = 256
 	maxTries       = 4
+	lifePeriod     = 250 * time.Millisecond
+	answerMargin   = 20 * time.Millisecond // for the way back of the last answer
 )
 
+// ErrSilent is returned for an instance that neither answers nor shows that it lives.
+var ErrSilent = errors.New("instance is silent")
+
 // ErrNoInstance is returned when no known instance answers.
 var ErrNoInstance = errors.New("no instance answers")
 
@@ -127,6 +134,9 @@
 		candidates = append(candidates, address.Address)
 	}
 	candidates = append(candidates, client.seeds...)
+	slices.SortStableFunc(candidates, func(a, b netip.AddrPort) int {
+		return cmp.Compare(rank(client.failed[a]), rank(client.failed[b]))
+	})
 	client.mutex.Unlock()
 	for _, candidate := range candidates {
 		addresses, err := client.ask(ctx, candidate)
@@ -137,10 +147,19 @@
 		if ctx.Err() != nil {
 			return Addresses{}, ctx.Err()
 		}
+		client.fail(candidate)
 	}
 	return Addresses{}, ErrNoInstance
 }
 
+// rank puts instances that failed lately last.
+func rank(failed bool) int {
+	if failed {
+		return 1
+	}
+	return 0
+}
+
 func (client *Client) ask(ctx context.Context, instance netip.AddrPort) (Addresses, error) {
 	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
 	defer cancel()
@@ -172,6 +191,9 @@
 // or when the request may be sent again under its ticket or without harm.
 func (client *Client) send(ctx context.Context, path string, request Request) (Answer, error) {
 	request.Caller = client.name
+	if end, bounded := ctx.Deadline(); bounded && request.Deadline.IsZero() {
+		request.Deadline = end.Add(-answerMargin)
+	}
 	var last error = ErrNoInstance
 	var refused *Answer
 	mayHaveRun := false
@@ -219,14 +241,48 @@
 	}
 }
 
-// try gives an instance half of the time that is left, so that a silent one leaves time for another.
+// try waits for an instance as long as it shows that it lives, so that a frozen one leaves time for another.
 func (client *Client) try(ctx context.Context, instance netip.AddrPort, path string, body Request) (Answer, error) {
-	if end, bounded := ctx.Deadline(); bounded {
-		half, cancel := context.WithTimeout(ctx, time.Until(end)/2)
-		defer cancel()
-		ctx = half
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go client.watch(ctx, cancel, instance)
+	answer, err := client.post(ctx, instance, path, body)
+	if err != nil && errors.Is(context.Cause(ctx), ErrSilent) {
+		return Answer{}, ErrSilent
+	}
+	return answer, err
+}
+
+// watch ends the context once the instance does not answer a check of its life.
+func (client *Client) watch(ctx context.Context, cancel context.CancelCauseFunc, instance netip.AddrPort) {
+	ticker := time.NewTicker(lifePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := client.checkLife(ctx, instance); err != nil && ctx.Err() == nil {
+			cancel(ErrSilent)
+			return
+		}
 	}
-	return client.post(ctx, instance, path, body)
+}
+
+func (client *Client) checkLife(ctx context.Context, instance netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, lifePeriod)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+instance.String()+LivePath, nil)
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	response, err := client.http.Do(request)
+	if err != nil {
+		return err
+	}
+	response.Body.Close()
+	return nil
 }
 
 func (client *Client) post(ctx context.Context, instance netip.AddrPort, path string, body Request) (Answer, error) {
--- a/reel/caller/messages.go
+++ b/reel/caller/messages.go
@@ -16,6 +16,7 @@
 	SearchPath    = "/v1/search"
 	FetchPath     = "/v1/fetch"
 	RecordPath    = "/v1/record"
+	LivePath      = "/health/live"
 )
 
 // Request is the body of a search, a fetch or a record.
--- a/reel/member/messages.go
+++ b/reel/member/messages.go
@@ -33,6 +33,11 @@
 	return state == Alive
 }
 
+// Reachable reports whether an instance in the state is believed to answer.
+func (state State) Reachable() bool {
+	return state == Joining || state == Alive || state == Leaving
+}
+
 // MarshalJSON writes the state's name.
 func (state State) MarshalJSON() ([]byte, error) {
 	return json.Marshal(state.String())
--- a/reel/operator/operator.go
+++ b/reel/operator/operator.go
@@ -11,7 +11,6 @@
 // Paths of the operators' interface.
 const (
 	MetricsPath = "/metrics"
-	LivePath    = "/health/live"
 	ReadyPath   = "/health/ready"
 	StatusPath  = "/v1/status"
 	ExplainPath = "/v1/explain"
--- a/reel/quarantine/quarantine.go
+++ b/reel/quarantine/quarantine.go
@@ -59,7 +59,7 @@
 	marks map[Fingerprint]Mark
 	clear map[Fingerprint]time.Time
 	since map[Fingerprint]time.Time // when each mark last changed here
-	order []Fingerprint // trusted fingerprints, oldest first
+	order []Fingerprint             // trusted fingerprints, oldest first
 }
 
 // Judge returns how the fingerprint may run now for an entry that knows no mark of its own.
--- a/reel/request/request.go
+++ b/reel/request/request.go
@@ -16,7 +16,7 @@
 
 const (
 	maxRestarts  = 3
-	maxTries     = 6 // attempts for one shard
+	maxTries     = 6                      // attempts for one shard
 	trialDelay   = 250 * time.Millisecond // after the last change of a mark, for it to reach all instances
 	backoffFirst = 20 * time.Millisecond
 	backoffMost  = 500 * time.Millisecond
--- a/shallotreel/entry/entry.go
+++ b/shallotreel/entry/entry.go
@@ -66,6 +66,7 @@
 	ledger    *ticket.Ledger[caller.Answer]
 	attempts  attempts
 	stopping  atomic.Bool
+	prepared  atomic.Bool
 	running   atomic.Int64
 	random    *rand.Rand // guarded by mutex
 	mutex     sync.Mutex
@@ -143,6 +144,15 @@
 
 // Prepared reports whether a snapshot is known for each source of the revision in force.
 func (entry *Entry) Prepared(now time.Time) bool {
+	if entry.prepared.Load() {
+		return true
+	}
+	prepared := entry.knowsSnapshots(now)
+	entry.prepared.Store(prepared && entry.fleet.View().Holders.Len() > 0)
+	return prepared
+}
+
+func (entry *Entry) knowsSnapshots(now time.Time) bool {
 	entry.mutex.Lock()
 	defer entry.mutex.Unlock()
 	if entry.view == nil || entry.view.Document == nil {
--- a/shallotreel/entry/http.go
+++ b/shallotreel/entry/http.go
@@ -156,6 +156,9 @@
 		if member.Name != owned.Instance || member.Incarnation != owned.Incarnation {
 			continue
 		}
+		if !member.State.Reachable() {
+			break
+		}
 		ctx, cancel := context.WithTimeout(ctx, entry.patience(body))
 		defer cancel()
 		answer, err := entry.network.Record(ctx, member.Peer, body)
@@ -169,12 +172,16 @@
 
 // patience returns how long the owner of a ticket may take.
 func (entry *Entry) patience(body caller.Request) time.Duration {
+	patience := time.Second
 	if doc := entry.fleet.View().Document; doc != nil {
 		if kind, ok := doc.Kind(body.Kind); ok {
-			return kind.Deadline.D()
+			patience = kind.Deadline.D()
 		}
 	}
-	return time.Second
+	if !body.Deadline.IsZero() {
+		patience = min(patience, time.Until(body.Deadline))
+	}
+	return patience
 }
 
 func (entry *Entry) compose(admitted admitted, outcome request.Outcome) caller.Answer {
--- a/shallotreel/entry/run.go
+++ b/shallotreel/entry/run.go
@@ -106,6 +106,9 @@
 	case contact.Undecided:
 		return result.Refuse(result.Isolated, notReadyWait, "a switch of preset is not confirmed by a majority")
 	case contact.Good:
+		if !entry.Prepared(now) {
+			return result.Refuse(result.NotReady, notReadyWait, "the instance does not know its targets yet")
+		}
 	}
 	return nil
 }
--- a/shallotreel/instance/operators.go
+++ b/shallotreel/instance/operators.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"shallotreel.example/reel/caller"
 	"shallotreel.example/reel/contact"
 	"shallotreel.example/reel/operator"
 )
@@ -14,7 +15,7 @@
 // handleOperators adds the operators' interface to the mux.
 func (instance *Instance) handleOperators(mux *http.ServeMux) {
 	mux.Handle("GET "+operator.MetricsPath, instance.reporter.HTTPHandler())
-	mux.HandleFunc("GET "+operator.LivePath, func(writer http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+caller.LivePath, func(writer http.ResponseWriter, _ *http.Request) {
 		writer.WriteHeader(http.StatusOK)
 	})
 	mux.HandleFunc("GET "+operator.ReadyPath, instance.serveReady)
