--- a/reel/fleet/fleet.go
+++ b/reel/fleet/fleet.go
@@ -97,8 +97,9 @@
 	if !machine.contact.Heard(now, packet.Beats) {
 		return Output{}
 	}
-	output := machine.wrap(now, machine.members.Receive(now, packet.Member))
+	// What is heard of revisions must ride on every packet that passes the beats on.
 	machine.revision.Heard(now, packet.Switch)
+	output := machine.wrap(now, machine.members.Receive(now, packet.Member))
 	output.add(machine.mergeMarks(now, packet.Marks))
 	machine.mergeLeaving(now, packet.Leaving, &output)
 	if machine.store.Clock().Behind(packet.Clock) {
@@ -127,6 +128,7 @@
 	if reply == nil {
 		return Output{}
 	}
+	machine.revision.Heard(now, reply.Switch)
 	output := machine.wrap(now, machine.members.Merge(now, reply.Members))
 	for _, value := range reply.Values {
 		output.add(machine.offer(now, value, "peer "+from.String(), false))
--- a/reel/fleet/fleet_test.go
+++ b/reel/fleet/fleet_test.go
@@ -139,7 +139,7 @@
 		highest := make([]uint64, 9)
 		harness.onTick = func() {
 			if got := harness.admitting(); len(got) > 1 {
-				t.Fatalf("at %v presets in force: %v\n%v", harness.now.Format("05.000"), got, harness.switches)
+				t.Fatalf("at %v presets in force: %v\n%v\n%s", harness.now.Format("05.000"), got, harness.switches, harness.describe())
 			}
 			for i, node := range harness.nodes {
 				if doc := node.machine.InForce(); doc != nil {
--- a/reel/fleet/harness_test.go
+++ b/reel/fleet/harness_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"shallotreel.example/reel/contact"
@@ -285,3 +286,17 @@
 	}
 	return standings
 }
+
+// describe tells what decides the admission of each instance.
+func (harness *harness) describe() string {
+	var text strings.Builder
+	for _, node := range harness.nodes {
+		machine := node.machine
+		until, known := machine.Until()
+		_, next := machine.Next()
+		fmt.Fprintf(&text, "i%d frozen=%v in force %d held %d standing %v good until %v, admits until %v (%v), next at %v\n",
+			node.number, node.frozen, machine.InForce().Revision, machine.Held().Revision, machine.Standing(harness.now),
+			machine.GoodUntil().Format("05.000"), until.Format("05.000"), known, next.Format("05.000"))
+	}
+	return text.String()
+}
--- a/reel/holder/holder.go
+++ b/reel/holder/holder.go
@@ -172,29 +172,6 @@
 	return actions
 }
 
-// verdict returns OK when the fingerprint may run here in the way the sub-request asks.
-func (machine *Machine) verdict(now time.Time, sub Sub) result.Code {
-	switch machine.judge.JudgeFor(now, sub.Fingerprint, sub.Trust) {
-	case quarantine.Quarantined:
-		return result.Quarantined
-	case quarantine.Suspect:
-		if !sub.Alone {
-			return result.Suspect
-		}
-	case quarantine.Clear, quarantine.Untried:
-	}
-	return result.OK
-}
-
-func (machine *Machine) trusted(now time.Time, sub Sub) bool {
-	return machine.judge.JudgeFor(now, sub.Fingerprint, sub.Trust) == quarantine.Clear
-}
-
-func (machine *Machine) mustBlock(now time.Time, sub Sub) bool {
-	_, busy := machine.untried[sub.Fingerprint]
-	return busy && !machine.trusted(now, sub)
-}
-
 func (machine *Machine) next(now time.Time) []Action {
 	var actions []Action
 	for len(machine.trials) > 0 && len(machine.running) == 0 {
@@ -280,33 +257,6 @@
 	return append(actions, machine.next(now)...)
 }
 
-// broke marks the fingerprint, unless it is a trusted one beside an untried one.
-func (machine *Machine) broke(now time.Time, sub Sub, untried bool) {
-	trusted := machine.trusted(now, sub)
-	if untried {
-		machine.brokeAt = now
-	}
-	bystander := untried || now.Sub(machine.brokeAt) < bystanderTerm
-	if trusted && bystander {
-		return
-	}
-	machine.judge.Broke(now, sub.Fingerprint, machine.name)
-}
-
-// release decides on the sub-requests that waited for the end of an untried run.
-func (machine *Machine) release(now time.Time, fingerprint quarantine.Fingerprint) []Action {
-	if _, busy := machine.untried[fingerprint]; busy {
-		return nil
-	}
-	blocked := machine.blocked[fingerprint]
-	delete(machine.blocked, fingerprint)
-	var actions []Action
-	for _, sub := range blocked {
-		actions = append(actions, machine.offer(now, sub)...)
-	}
-	return actions
-}
-
 func (machine *Machine) cancel(now time.Time, attempt target.Attempt) []Action {
 	if run, ok := machine.running[attempt]; ok {
 		if run.canceled {
@@ -331,24 +281,6 @@
 	return append(actions, machine.next(now)...)
 }
 
-// absorb takes a report as a hint; only its leaving state and its snapshots are trusted.
-func (machine *Machine) absorb(now time.Time, report target.Report) []Action {
-	if report.State == "" {
-		return nil
-	}
-	machine.held = report.Snapshots
-	foreign := report.InFlight - len(machine.running)
-	machine.reported = reported{foreign: max(0, foreign), at: now}
-	switch {
-	case report.State == target.Leaving:
-		return machine.leave(now)
-	case report.State == target.Cold && machine.state != target.Cold:
-		machine.ramp, machine.rampAt = 1, now
-	}
-	machine.state = report.State
-	return nil
-}
-
 // leave refuses all that waits, so that entries move it before it is sent.
 func (machine *Machine) leave(now time.Time) []Action {
 	if machine.state == target.Leaving {
@@ -386,19 +318,6 @@
 	return actions
 }
 
-func (machine *Machine) tick(now time.Time) []Action {
-	expired := func(sub Sub) bool { return !sub.Request.Deadline.After(now) }
-	actions := machine.refuseMatching(now, expired, result.TooLate, "deadline passed in the queue")
-	for !math.IsInf(machine.ramp, 1) && now.Sub(machine.rampAt) >= rampStep {
-		machine.ramp *= 2
-		machine.rampAt = machine.rampAt.Add(rampStep)
-		if machine.ramp >= float64(machine.limits.Slots) {
-			machine.ramp = math.Inf(1)
-		}
-	}
-	return append(actions, machine.next(now)...)
-}
-
 func (machine *Machine) end(attempt target.Attempt) {
 	run := machine.running[attempt]
 	delete(machine.running, attempt)
@@ -410,46 +329,6 @@
 	}
 }
 
-func (machine *Machine) backOff(now time.Time) {
-	machine.down.wait = min(max(2*machine.down.wait, shortestDown), longestDown)
-	machine.down.until = now.Add(machine.down.wait)
-}
-
-func (machine *Machine) measure(took time.Duration) {
-	machine.service += time.Duration(serviceGain * float64(took-machine.service))
-}
-
-// limit is the number of sub-requests that may run at the target now.
-func (machine *Machine) limit(now time.Time) int {
-	slots := float64(machine.limits.Slots) * machine.limits.SlotFraction
-	slots = min(slots, machine.ramp)
-	if now.Sub(machine.reported.at) < reportTerm {
-		foreign := min(machine.reported.foreign, machine.limits.Slots/2)
-		slots -= float64(foreign)
-	}
-	return max(1, int(slots))
-}
-
-func (machine *Machine) waiting() int {
-	waiting := machine.queue.Len() + len(machine.trials)
-	for _, subs := range machine.blocked {
-		waiting += len(subs)
-	}
-	return waiting
-}
-
-func (machine *Machine) expectedWait(now time.Time) time.Duration {
-	limit := machine.limit(now)
-	if len(machine.running) < limit {
-		return 0
-	}
-	return machine.service * time.Duration(machine.queue.Len()+1) / time.Duration(limit)
-}
-
-func (machine *Machine) queueLimit(now time.Time) int {
-	return max(queueFloor, int(float64(machine.limit(now))*machine.limits.QueuePerSlot))
-}
-
 func (machine *Machine) refuse(now time.Time, sub Sub, code result.Code, reason string) []Action {
 	answer := Answer{Code: code, Ran: result.RanNo}
 	if code == result.Overloaded {
@@ -464,12 +343,3 @@
 	answer.Status = machine.Status(now)
 	return Finish{To: sub.From, Answer: answer, Reason: reason}
 }
-
-func sortedKeys[T any](items map[quarantine.Fingerprint]T) []quarantine.Fingerprint {
-	keys := make([]quarantine.Fingerprint, 0, len(items))
-	for key := range items {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
