Send changes of large values as deltas, keep light classes in short queues, pass over unreachable targets

(2) With two kinds of weight 4 and 1 on full targets the light one got 14.3 % in place of 20, because eviction emptied its place in a queue of two. (3) With all instances of a data centre killed, requests kept choosing targets whose holders were all gone, for a second. (4) A search that wants whole coverage gave up a shard on a refusal for load when the budget was empty. Change: values travel as zstd deltas to versions that the other side holds; a class keeps its only waiting item while another has more; a target without a holder in reach counts as down; such a search comes back when the holder said, while its deadline allows.

--- a/bench/experiment/experiment.go
+++ b/bench/experiment/experiment.go
@@ -40,6 +40,7 @@
 	Callers    int                          `json:"callers" validate:"min=1,max=2000"`
 	Queries    int                          `json:"queries" validate:"min=1"`
 	Warmup     document.Duration            `json:"warmup"`
+	Settle     document.Duration            `json:"settle,omitzero"` // before the cost of control is measured
 	Duration   document.Duration            `json:"duration" validate:"gt=0"`
 	Load       []Load                       `json:"load" validate:"min=1,dive"`
 	Settings   json.RawMessage              `json:"settings,omitempty"`
--- a/bench/lab/cost.go
+++ b/bench/lab/cost.go
@@ -74,3 +74,29 @@
 	system, _ := strconv.ParseInt(fields[12], 10, 64)
 	return time.Duration(user+system) * time.Second / ticksPerSecond
 }
+
+// Memory returns the mean resident memory of the running instances in MB.
+func (lab *Lab) Memory() float64 {
+	total, running := 0.0, 0
+	for _, instance := range lab.Instances() {
+		if instance.process != nil {
+			total += residentMB(instance.process.Process.Pid)
+			running++
+		}
+	}
+	return total / float64(max(1, running))
+}
+
+func residentMB(pid int) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(data)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kilobytes, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			return kilobytes / 1024
+		}
+	}
+	return 0
+}
--- a/bench/load/result.go
+++ b/bench/load/result.go
@@ -33,6 +33,7 @@
 	PlatformCalls       float64            `json:"platform_calls_per_s"`
 	ControlBytes        float64            `json:"control_bytes_per_s"`
 	ControlCPU          float64            `json:"control_cpu_percent"`
+	Memory              float64            `json:"memory_mb"` // resident, mean of the instances
 	CPUPerSub           float64            `json:"cpu_us_per_sub"`
 	AnsweredByKind      map[string]int64   `json:"answered_by_kind"`
 	Codes               map[string]int64   `json:"codes"`
--- a/bench/main.go
+++ b/bench/main.go
@@ -1,4 +1,3 @@
-// Command bench starts a deployment as real processes, loads it, breaks it and measures what callers get.
 package main
 
 import (
--- a/bench/run.go
+++ b/bench/run.go
@@ -67,6 +67,10 @@
 
 // measure takes the cost of control at rest, then runs load and faults.
 func measure(ctx context.Context, started *lab.Lab, described experiment.Experiment) (load.Result, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(described.Settle.D()):
+	}
 	control, err := started.ControlCost(ctx, idleTime)
 	if err != nil {
 		return load.Result{}, err
@@ -108,6 +112,7 @@
 	outcome.ConfigLag = float64(lag.Microseconds()) / 1000
 	outcome.PlatformCalls = float64(after.PlatformCalls-before.PlatformCalls) / time.Since(begin).Seconds()
 	outcome.ControlBytes, outcome.ControlCPU = control.BytesPerSecond, control.CPUPercent
+	outcome.Memory = started.Memory()
 	if subs := after.Targets.Runs - before.Targets.Runs; subs > 0 {
 		outcome.CPUPerSub = float64(cpu.Microseconds()) / float64(subs)
 	}
--- a/reel/fleet/fleet.go
+++ b/reel/fleet/fleet.go
@@ -54,6 +54,7 @@
 	joined   bool
 	prepared bool
 	pulls    map[netip.AddrPort]time.Time
+	whole    map[string]bool // values whose last delta could not be opened
 	sweepAt  time.Time
 	seedAt   time.Time
 }
@@ -64,7 +65,7 @@
 	return &Machine{
 		members: member.New(self, random), contact: touch, revision: revision.New(touch),
 		book: book, seeds: seeds, started: now,
-		left: map[string]time.Time{}, pulls: map[netip.AddrPort]time.Time{},
+		left: map[string]time.Time{}, pulls: map[netip.AddrPort]time.Time{}, whole: map[string]bool{},
 	}
 }
 
@@ -111,7 +112,7 @@
 // Answer returns what a pulling peer lacks, and learns that the peer exists.
 func (machine *Machine) Answer(now time.Time, request PullRequest) (PullReply, Output) {
 	reply := PullReply{
-		Values: machine.store.Since(request.Stamps), Members: machine.members.Members(),
+		Updates: machine.store.Since(request.Stamps), Members: machine.members.Members(),
 		Marks: machine.book.Marks(now), Leaving: machine.Leaving(now), Switch: machine.revision.Switch(),
 	}
 	return reply, machine.wrap(now, machine.members.Merge(now, []member.Member{request.From}))
@@ -119,7 +120,11 @@
 
 // Request returns what to ask a peer with.
 func (machine *Machine) Request() PullRequest {
-	return PullRequest{Stamps: machine.store.Stamps(), From: machine.members.Self()}
+	stamps := machine.store.Stamps()
+	for key := range machine.whole {
+		delete(stamps, key)
+	}
+	return PullRequest{Stamps: stamps, From: machine.members.Self()}
 }
 
 // Pulled takes the reply of a peer, or its failure if reply is nil.
@@ -130,7 +135,14 @@
 	}
 	machine.revision.Heard(now, reply.Switch)
 	output := machine.wrap(now, machine.members.Merge(now, reply.Members))
-	for _, value := range reply.Values {
+	for _, update := range reply.Updates {
+		value, err := machine.store.Open(update)
+		if err != nil {
+			machine.whole[update.Key] = true
+			output.Notes = append(output.Notes, fmt.Sprintf("cannot open %s from peer %v: %v", update.Key, from, err))
+			continue
+		}
+		delete(machine.whole, update.Key)
 		output.add(machine.offer(now, value, "peer "+from.String(), false))
 	}
 	machine.revision.Heard(now, reply.Switch)
--- a/reel/fleet/messages.go
+++ b/reel/fleet/messages.go
@@ -46,7 +46,7 @@
 
 // PullReply brings what the peer holds beyond that.
 type PullReply struct {
-	Values  []publication.Value
+	Updates []publication.Update
 	Members []member.Member
 	Marks   []quarantine.Mark
 	Leaving []string
--- a/reel/publication/publication.go
+++ b/reel/publication/publication.go
@@ -40,9 +40,11 @@
 
 // Store keeps values whose versions only rise; its zero value is ready.
 type Store struct {
-	values map[string]Value
-	stamps map[string]Stamp
-	clock  Clock
+	values  map[string]Value
+	stamps  map[string]Stamp
+	clock   Clock
+	history map[string][]Value // replaced versions, newest first
+	deltas  map[deltaKey]Update
 }
 
 // Put keeps the value if it is newer than the one held and reports whether it was.
@@ -60,6 +62,11 @@
 	if store.values == nil {
 		store.values = map[string]Value{}
 		store.stamps = map[string]Stamp{}
+		store.history = map[string][]Value{}
+		store.deltas = map[deltaKey]Update{}
+	}
+	if old, known := store.values[value.Key]; known {
+		store.remember(old)
 	}
 	store.values[value.Key] = value
 	store.stamps[value.Key] = value.Stamp()
@@ -78,12 +85,12 @@
 }
 
 // Since returns the values that a store with the given stamps may lack, ordered by key.
-func (store *Store) Since(stamps map[string]Stamp) []Value {
-	var lacking []Value
+func (store *Store) Since(stamps map[string]Stamp) []Update {
+	var lacking []Update
 	for _, key := range store.keys() {
 		own, theirs := store.stamps[key], stamps[key]
 		if own.Version > theirs.Version || own.Version == theirs.Version && own.Hash != theirs.Hash {
-			lacking = append(lacking, store.values[key])
+			lacking = append(lacking, store.update(key, theirs))
 		}
 	}
 	return lacking
--- a/reel/queue/queue.go
+++ b/reel/queue/queue.go
@@ -56,9 +56,16 @@
 	return item, true
 }
 
-// Evict removes the newest item of the class that holds the most for its weight.
+// Evict removes the newest item of the class that holds the most for its weight. A class keeps its only
+// item as long as another has more, so that short queues do not starve light classes.
 func (queue *Queue[T]) Evict() (T, bool) {
 	worst := queue.pick(func(a, b *class[T]) int {
+		if single := len(a.items) == 1; single != (len(b.items) == 1) {
+			if single {
+				return 1
+			}
+			return -1
+		}
 		return cmp.Compare(float64(len(b.items))/b.weight, float64(len(a.items))/a.weight)
 	})
 	if worst == nil {
--- a/reel/queue/queue_test.go
+++ b/reel/queue/queue_test.go
@@ -86,3 +86,23 @@
 		}
 	})
 }
+
+func TestShortQueueKeepsTheSharesOfLightClasses(t *testing.T) {
+	var queue Queue[string]
+	counts := map[string]int{}
+	for range 5000 {
+		for _, name := range []string{"heavy", "light"} {
+			weight := map[string]float64{"heavy": 4, "light": 1}[name]
+			queue.Push(name, weight, time.Unix(9, 0), name)
+			if queue.Len() > 2 {
+				queue.Evict()
+			}
+		}
+		if name, ok := queue.Pop(); ok {
+			counts[name]++
+		}
+	}
+	if share := float64(counts["light"]) / 5000; share < 0.18 || share > 0.22 {
+		t.Fatalf("the light class got %.3f of the service, want 0.2 within 10 %%", share)
+	}
+}
--- a/reel/request/failure.go
+++ b/reel/request/failure.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"shallotreel.example/reel/document"
 	"shallotreel.example/reel/holder"
 	"shallotreel.example/reel/quarantine"
 	"shallotreel.example/reel/result"
@@ -72,7 +73,7 @@
 	case result.Overloaded, result.Shed:
 		machine.overload = true
 		machine.retryHint = max(machine.retryHint, answer.RetryAfter)
-		machine.retry(now, part, true)
+		machine.retryLater(now, part, answer.RetryAfter)
 	case result.TooLate:
 		part.dead = part.live == 0
 	case result.NotHolder, result.HolderLost:
@@ -88,6 +89,19 @@
 	return nil
 }
 
+// retryLater plans another attempt after a refusal for load. Without budget a request that wants whole
+// coverage comes back when the holder said, as long as its deadline allows.
+func (machine *Machine) retryLater(now time.Time, part *part, after time.Duration) {
+	machine.retry(now, part, true)
+	comeBack := now.Add(max(after, part.backoff))
+	// One shard alone has nothing to lose by a refusal that the caller sees at once.
+	patient := machine.plan.Kind.Rule == document.Coverage && len(machine.parts) > 1 && part.tries < maxTries
+	if part.dead && patient && comeBack.Before(machine.lastMoment()) {
+		part.dead = false
+		part.retryAt = comeBack
+	}
+}
+
 // retry plans another attempt at the shard, from the budget if the last one cost a target anything.
 func (machine *Machine) retry(now time.Time, part *part, paid bool) {
 	if part.live > 0 {
--- a/reel/route/table.go
+++ b/reel/route/table.go
@@ -209,7 +209,7 @@
 		if candidate.leavingAt(now) || !candidate.holds(snapshot) || slices.Contains(not, candidate.server.Name) {
 			continue
 		}
-		if candidate.downAt(now) {
+		if candidate.downAt(now) || !table.reachable(now, candidate) {
 			if fallback == nil || candidate.downUntil.Before(fallback.downUntil) {
 				fallback = candidate
 			}
@@ -247,6 +247,13 @@
 	return replica.holders[0]
 }
 
+// reachable reports whether one of the target's holders has not failed lately.
+func (table *Table) reachable(now time.Time, replica *replica) bool {
+	holder := table.holderOf(now, replica)
+	until, avoided := table.avoided[holder.Name]
+	return !avoided || !now.Before(until)
+}
+
 // AvoidHolder makes the table pass over a holder that could not be reached, for a short time.
 func (table *Table) AvoidHolder(now time.Time, name string) {
 	table.mutex.Lock()
--- a/reel/route/table_test.go
+++ b/reel/route/table_test.go
@@ -245,3 +245,16 @@
 		table.HedgeDelay(start, pin.Shards[0], 0.97)
 	}
 }
+
+func TestTargetWithoutAHolderInReachIsPassedOver(t *testing.T) {
+	table := newTable(1, 2, 9)
+	pin := assertPin(t, table, 41)
+	for _, name := range []string{"i0", "i3", "i6"} {
+		table.AvoidHolder(start, name) // all instances of the data centre of s/1/1
+	}
+	for range 20 {
+		if choice, _ := table.Choose(start, pin, 0, nil); choice.Target != "s/1/2" {
+			t.Fatalf("chose %s, held by %s", choice.Target, choice.Holder.Name)
+		}
+	}
+}
--- /dev/null
+++ b/reelctl/doc.go
@@ -0,0 +1,2 @@
+// Command reelctl is the operators' command line.
+package main
--- a/reelctl/main.go
+++ b/reelctl/main.go
@@ -1,4 +1,3 @@
-// Command reelctl is the operators' command line.
 package main
 
 import (
--- a/shallotreel/main.go
+++ b/shallotreel/main.go
@@ -1,4 +1,3 @@
-// Command shallotreel is the daemon that runs on each entry instance.
 package main
 
 import (
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,3 @@
-// Command standin plays the platform and the targets for tests and the bench.
 package main
 
 import (
