--- a/reel/address/address.go
+++ b/reel/address/address.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"shallotreel.example/reel/caller"
 	"shallotreel.example/reel/member"
@@ -23,26 +24,26 @@
 
 // Order returns the instances that serve, the caller's data centre first unless it is full.
 func (book *Book) Order(members []member.Member, dataCentre string, full bool) []caller.Address {
-	near, far := divide(members, dataCentre, func(known member.Member) bool {
+	near, far := divide(members, dataCentre, func(known *member.Member) bool {
 		return known.State.Serves() && known.Incarnation != 0
 	})
-	first, second := book.rotate(dataCentre, near), book.rotate("", far)
-	if full || len(first) == 0 {
-		first, second = second, first
+	if full || len(near) == 0 {
+		near, far = far, near
 	}
-	return list(append(first, second...))
+	return book.list(dataCentre, near, far)
 }
 
 // Beyond returns the instances that an isolated instance does not reach, which may well serve.
 func (book *Book) Beyond(members []member.Member, dataCentre string) []caller.Address {
-	near, far := divide(members, dataCentre, func(known member.Member) bool {
+	near, far := divide(members, dataCentre, func(known *member.Member) bool {
 		return known.State == member.Suspect || known.State == member.Dead
 	})
-	return list(append(book.rotate(dataCentre, near), book.rotate("", far)...))
+	return book.list(dataCentre, near, far)
 }
 
-func divide(members []member.Member, dataCentre string, match func(member.Member) bool) (near, far []member.Member) {
-	for _, member := range members {
+func divide(members []member.Member, dataCentre string, match func(*member.Member) bool) (near, far []*member.Member) {
+	for i := range members {
+		member := &members[i]
 		switch {
 		case !match(member):
 		case member.DataCentre == dataCentre:
@@ -54,27 +55,33 @@
 	return near, far
 }
 
-func list(members []member.Member) []caller.Address {
-	var addresses []caller.Address
-	for _, member := range members[:min(most, len(members))] {
-		addresses = append(addresses, caller.Address{Instance: member.Name,
-			Address: member.Caller, DataCentre: member.DataCentre})
+// list takes the next of the first members in turn, then others of them at random, then of the second.
+func (book *Book) list(turn string, first, second []*member.Member) []caller.Address {
+	addresses := make([]caller.Address, 0, most)
+	for _, members := range [][]*member.Member{first, second} {
+		for _, at := range book.sample(turn, len(members), most-len(addresses)) {
+			addresses = append(addresses, caller.Address{Instance: members[at].Name,
+				Address: members[at].Caller, DataCentre: members[at].DataCentre})
+		}
 	}
 	return addresses
 }
 
-// rotate puts the next instance in turn first and shuffles the others, so that a loss spreads evenly.
-func (book *Book) rotate(key string, members []member.Member) []member.Member {
-	if len(members) == 0 {
+// sample returns up to n different places below size: the next in turn first, the others at random, so
+// that the loss of an instance spreads evenly.
+func (book *Book) sample(turn string, size, n int) []int {
+	if size == 0 || n <= 0 {
 		return nil
 	}
-	if _, known := book.turn[key]; !known {
-		book.turn[key] = book.random.IntN(len(members))
+	if _, known := book.turn[turn]; !known {
+		book.turn[turn] = book.random.IntN(size)
+	}
+	places := []int{book.turn[turn] % size}
+	book.turn[turn]++
+	for len(places) < min(n, size) {
+		if place := book.random.IntN(size); !slices.Contains(places, place) {
+			places = append(places, place)
+		}
 	}
-	at := book.turn[key] % len(members)
-	book.turn[key] = at + 1
-	members[0], members[at] = members[at], members[0]
-	rest := members[1:]
-	book.random.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
-	return members
+	return places
 }
--- a/reel/address/address_test.go
+++ b/reel/address/address_test.go
@@ -87,3 +87,15 @@
 		t.Fatalf("an isolated instance named %v", beyond)
 	}
 }
+
+func BenchmarkOrder(b *testing.B) {
+	for _, size := range []int{9, 230, 2300} {
+		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
+			book := New(rand.New(rand.NewPCG(1, 1)))
+			members := alive(size)
+			for b.Loop() {
+				book.Order(members, "dc0", false)
+			}
+		})
+	}
+}
--- a/reel/holder/replay_test.go
+++ b/reel/holder/replay_test.go
@@ -162,3 +162,15 @@
 	}
 	return fmt.Sprint(action)
 }
+
+func BenchmarkSubRequest(b *testing.B) {
+	machine := New("s/1/1", bookJudge{&quarantine.Book{}})
+	machine.On(start, Configured{Slots: 5, SlotFraction: 1, QueuePerSlot: 1})
+	now := start
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		machine.On(now, Offered{Sub{Request: target.Request{Kind: "k", Deadline: now.Add(time.Second)}, Weight: 1,
+			Trust: quarantine.Trust{Passed: true}}})
+		machine.On(now, Replied{target.Reply{}})
+	}
+}
--- a/reel/member/member.go
+++ b/reel/member/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -22,6 +23,7 @@
 	indirect      = 3
 	newsFanout    = 3
 	updatesAtOnce = 8
+	pickTries     = 20 // draws for each peer to pick
 )
 
 // Machine keeps the membership of the fleet as this instance sees it.
@@ -34,7 +36,9 @@
 	probes  map[uint64]*probe
 	relays  map[uint64]relay
 	ring    []string
-	version uint64 // rises with each change of a member
+	listed  []string        // names of all known members, ordered
+	aging   map[string]bool // suspects and dead, whose state changes with time
+	version uint64          // rises with each change of a member
 	probeAt time.Time
 	deadAt  time.Time
 	seen    time.Time
@@ -60,7 +64,7 @@
 // New returns the machine of an instance that knows only itself.
 func New(self Member, random *rand.Rand) *Machine {
 	machine := &Machine{self: self, random: random, members: map[string]*entry{},
-		probes: map[uint64]*probe{}, relays: map[uint64]relay{}}
+		probes: map[uint64]*probe{}, relays: map[uint64]relay{}, aging: map[string]bool{}}
 	machine.news.Put(self.Name, self)
 	return machine
 }
@@ -86,8 +90,7 @@
 		return Output{}
 	}
 	member.Incarnation, member.Version, member.State = 0, 0, Joining
-	machine.version++
-	machine.members[member.Name] = &entry{member, now}
+	machine.put(now, member)
 	message := machine.message(Ping, machine.track(now, member.Name))
 	return Output{
 		Sends:   []Send{{member.Peer, message}},
@@ -200,11 +203,17 @@
 
 // Pick returns up to n random peers that are not dead.
 func (machine *Machine) Pick(n int) []Member {
-	names := machine.names(func(member Member) bool { return member.State != Dead })
-	machine.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 	var picked []Member
-	for _, name := range names[:min(n, len(names))] {
-		picked = append(picked, machine.members[name].Member)
+	var seen []int
+	for tries := 0; len(picked) < n && len(seen) < len(machine.listed) && tries < pickTries*n; tries++ {
+		at := machine.random.IntN(len(machine.listed))
+		if slices.Contains(seen, at) {
+			continue
+		}
+		seen = append(seen, at)
+		if entry := machine.members[machine.listed[at]]; entry.State != Dead {
+			picked = append(picked, entry.Member)
+		}
 	}
 	return picked
 }
@@ -246,9 +255,31 @@
 	machine.news.Put(machine.self.Name, machine.self)
 }
 
-func (machine *Machine) set(now time.Time, member Member, reason string) Change {
+// put keeps a description and the indexes over all of them.
+func (machine *Machine) put(now time.Time, member Member) {
 	machine.version++
+	if _, known := machine.members[member.Name]; !known {
+		at, _ := slices.BinarySearch(machine.listed, member.Name)
+		machine.listed = slices.Insert(machine.listed, at, member.Name)
+	}
 	machine.members[member.Name] = &entry{member, now}
+	delete(machine.aging, member.Name)
+	if member.State == Suspect || member.State == Dead {
+		machine.aging[member.Name] = true
+	}
+}
+
+func (machine *Machine) drop(name string) {
+	machine.version++
+	delete(machine.members, name)
+	delete(machine.aging, name)
+	if at, found := slices.BinarySearch(machine.listed, name); found {
+		machine.listed = slices.Delete(machine.listed, at, at+1)
+	}
+}
+
+func (machine *Machine) set(now time.Time, member Member, reason string) Change {
+	machine.put(now, member)
 	machine.news.Put(member.Name, member)
 	return Change{member, reason}
 }
@@ -296,7 +327,12 @@
 				return name, true
 			}
 		}
-		machine.ring = machine.names(func(member Member) bool { return member.State != Dead })
+		machine.ring = machine.ring[:0]
+		for _, name := range machine.listed {
+			if machine.members[name].State != Dead {
+				machine.ring = append(machine.ring, name)
+			}
+		}
 		machine.random.Shuffle(len(machine.ring), func(i, j int) {
 			machine.ring[i], machine.ring[j] = machine.ring[j], machine.ring[i]
 		})
@@ -305,7 +341,12 @@
 }
 
 func (machine *Machine) probeDead(now time.Time) []Send {
-	names := machine.names(func(member Member) bool { return member.State == Dead })
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(machine.aging)) {
+		if machine.members[name].State == Dead {
+			names = append(names, name)
+		}
+	}
 	if len(names) == 0 {
 		return nil
 	}
@@ -330,7 +371,7 @@
 			delete(machine.relays, seq)
 		}
 	}
-	for _, name := range machine.names(func(Member) bool { return true }) {
+	for _, name := range slices.Sorted(maps.Keys(machine.aging)) {
 		machine.age(now, name, output)
 	}
 }
@@ -377,8 +418,7 @@
 		dead.State = Dead
 		output.Changes = append(output.Changes, machine.set(now, dead, "stayed silent"))
 	case entry.State == Dead && now.Sub(entry.since) >= deadTerm:
-		machine.version++
-		delete(machine.members, name)
+		machine.drop(name)
 	}
 }
 
@@ -391,17 +431,6 @@
 	}
 }
 
-func (machine *Machine) names(match func(Member) bool) []string {
-	var names []string
-	for name, entry := range machine.members {
-		if match(entry.Member) {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
 func sortedKeys(probes map[uint64]*probe) []uint64 {
 	keys := make([]uint64, 0, len(probes))
 	for key := range probes {
--- a/reel/request/outcome.go
+++ b/reel/request/outcome.go
@@ -12,6 +12,9 @@
 )
 
 func (machine *Machine) cancelPart(part *part) []Action {
+	if part.live == 0 {
+		return nil
+	}
 	var actions []Action
 	for id, attempt := range machine.attempts {
 		if attempt.part == part && !attempt.ended {
--- a/reel/request/request_test.go
+++ b/reel/request/request_test.go
@@ -431,3 +431,19 @@
 	session.answer(200, session.sent[4], result.OK)
 	session.assertOutcome(t, result.OK, result.RanYes, 1)
 }
+
+func BenchmarkRequest(b *testing.B) {
+	for _, shards := range []int{10, 30, 140} {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
+			wanted := plan(document.Coverage, document.Search)
+			wanted.Pin = pinOf(41, shards)
+			for b.Loop() {
+				session := begin(b, wanted, true)
+				for _, sub := range session.sent {
+					session.answer(10, sub, result.OK)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*shards), "ns/sub")
+		})
+	}
+}
--- a/reel/route/latency.go
+++ b/reel/route/latency.go
@@ -8,7 +8,7 @@
 
 const (
 	latencyMax     = 60 * time.Second
-	latencyDigits  = 2
+	latencyDigits  = 1
 	latencyWindows = 2
 	latencyWindow  = 5 * time.Second
 	latencyFew     = 20 // fewer samples than this tell no quantile
--- a/reel/route/table_test.go
+++ b/reel/route/table_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -258,3 +259,32 @@
 		}
 	}
 }
+
+func BenchmarkTableMemory(b *testing.B) {
+	for _, shards := range []int{140, 1400} {
+		b.Run(fmt.Sprintf("targets=%d", 3*shards), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			tables := make([]*Table, 0, b.N)
+			for range b.N {
+				tables = append(tables, newTable(shards, 3, 9))
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(b.N*shards*3), "heap-bytes/target")
+			runtime.KeepAlive(tables)
+		})
+	}
+}
+
+func BenchmarkRank(b *testing.B) {
+	for _, size := range []int{9, 230, 2300} {
+		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
+			holders := NewHolders(1, instances(size))
+			for b.Loop() {
+				holders.Rank("s/1/1", "dc1", 3)
+			}
+		})
+	}
+}
