--- a/reel/fleet/harness_test.go
+++ b/reel/fleet/harness_test.go
@@ -28,7 +28,6 @@
 	cut      func(a, b int) bool
 	watch    func(node int) bool
 	onTick   func()
-	presets  map[string]int // presets that admit work right now, by count of instances
 	switches []string
 	preset   string // published last
 	chosen   uint64 // revision that chose it
