Let the bench use the stand-ins' own types

Cause: the counts and the description of a stand-in target stood in standin and again in bench. Change: bench takes them from standin/servers.

--- a/bench/lab/lab.go
+++ b/bench/lab/lab.go
@@ -24,6 +24,7 @@
 	"shallotreel.example/reel/operator"
 	"shallotreel.example/reel/platform"
 	"shallotreel.example/reel/target"
+	"shallotreel.example/standin/servers"
 )
 
 const (
@@ -277,25 +278,11 @@
 
 // Counts is the truth as the stand-ins saw it.
 type Counts struct {
-	Targets       TargetCounts     `json:"targets"`
+	Targets       servers.Counts   `json:"targets"`
 	PlatformCalls int64            `json:"platform_calls"`
 	PlatformReads map[string]int64 `json:"platform_reads"`
 }
 
-// TargetCounts is the targets' part of the truth.
-type TargetCounts struct {
-	Runs               int64            `json:"runs"`
-	RunsByTarget       map[string]int64 `json:"runs_by_target"`
-	RunsByRequest      map[string]int   `json:"runs_by_request"`
-	RecordRuns         map[string]int   `json:"record_runs"`
-	SlotsOver          int64            `json:"slots_over"`
-	SentToLeaving      int64            `json:"sent_to_leaving"`
-	Crashed            map[string]int   `json:"crashed"`
-	ConnectionsOverCap int64            `json:"connections_over_cap"`
-	Connects           int64            `json:"connects"`
-	ConnectionsMax     int              `json:"connections_max"`
-}
-
 // Counts asks the stand-ins for their counts.
 func (lab *Lab) Counts() (Counts, error) {
 	var counts Counts
--- a/bench/lab/topology.go
+++ b/bench/lab/topology.go
@@ -13,6 +13,7 @@
 	"shallotreel.example/reel/coverage"
 	"shallotreel.example/reel/document"
 	"shallotreel.example/reel/target"
+	"shallotreel.example/standin/servers"
 )
 
 const (
@@ -30,24 +31,11 @@
 	ServiceTime document.Duration `json:"service_time"`
 }
 
-// spec describes one stand-in target, as the stand-in program reads it.
-type spec struct {
-	Name        string         `json:"name"`
-	Shard       string         `json:"shard"`
-	Address     netip.AddrPort `json:"address"`
-	Range       coverage.Range `json:"range"`
-	Slots       int            `json:"slots"`
-	Connections int            `json:"connections"`
-	Service     time.Duration  `json:"service_ns"`
-	ConnectCost time.Duration  `json:"connect_cost_ns"`
-	Snapshots   []uint64       `json:"snapshots"`
-}
-
 // topology is what a deployment consists of.
 type topology struct {
 	document *document.Document
 	maps     map[string]target.Map
-	servers  map[string]spec
+	servers  map[string]servers.Spec
 }
 
 // readTopology reads a shipped deployment and moves its times to now.
@@ -72,7 +60,7 @@
 	if err := document.DecodeStrict(lines, &fleets); err != nil {
 		return topology{}, nil, err
 	}
-	built := topology{document: doc, maps: map[string]target.Map{}, servers: map[string]spec{}}
+	built := topology{document: doc, maps: map[string]target.Map{}, servers: map[string]servers.Spec{}}
 	for i, fleet := range fleets {
 		if service, ok := config.Service[fleet.Source]; ok {
 			fleet.ServiceTime = service
@@ -99,7 +87,7 @@
 			centres := topology.document.DataCentres
 			shard.Servers = append(shard.Servers, target.Server{Name: name, Address: address,
 				DataCentre: centres[server%len(centres)]})
-			topology.servers[name] = spec{Name: name, Shard: shard.Name, Address: address, Range: rng,
+			topology.servers[name] = servers.Spec{Name: name, Shard: shard.Name, Address: address, Range: rng,
 				Slots: source.Slots, Connections: source.Connections, Service: fleet.ServiceTime.D(),
 				ConnectCost: source.ConnectCost.D(), Snapshots: []uint64{firstSnapshot}}
 		}
--- a/bench/load/measure.go
+++ b/bench/load/measure.go
@@ -7,10 +7,10 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"shallotreel.example/bench/lab"
 	"shallotreel.example/reel/document"
 	"shallotreel.example/reel/result"
 	"shallotreel.example/reel/target"
+	"shallotreel.example/standin/servers"
 )
 
 const (
@@ -19,7 +19,7 @@
 )
 
 // Measure sums up the samples that were sent from start on, against the targets' counts.
-func (callers *Callers) Measure(start time.Time, maps func(source string) target.Map, counts lab.TargetCounts, before lab.TargetCounts) Result {
+func (callers *Callers) Measure(start time.Time, maps func(source string) target.Map, counts servers.Counts, before servers.Counts) Result {
 	callers.mutex.Lock()
 	defer callers.mutex.Unlock()
 	measured := measurement{callers: callers, start: start, maps: maps,
@@ -115,7 +115,7 @@
 }
 
 // checkRuns compares each "not run" and each once-only request with what the targets ran.
-func (measured *measurement) checkRuns(sample sample, counts lab.TargetCounts) {
+func (measured *measurement) checkRuns(sample sample, counts servers.Counts) {
 	if !sample.lost && sample.answer.Ran == result.RanNo && counts.RunsByRequest[sample.id] > 0 {
 		measured.result.RanAfterRefused++
 	}
@@ -155,7 +155,7 @@
 	}
 }
 
-func (measured *measurement) finish(counts, before lab.TargetCounts) Result {
+func (measured *measurement) finish(counts, before servers.Counts) Result {
 	outcome := &measured.result
 	outcome.P50 = millis(measured.latency, 50)
 	outcome.P99 = millis(measured.latency, 99)
@@ -184,7 +184,7 @@
 }
 
 // replicaLoad returns the highest share of a replica against the mean of its service.
-func (measured *measurement) replicaLoad(counts, before lab.TargetCounts) float64 {
+func (measured *measurement) replicaLoad(counts, before servers.Counts) float64 {
 	worst := 0.0
 	for _, source := range measured.callers.document.Sources {
 		for _, shard := range measured.maps(source.Name).Shards {
