--- /dev/null
+++ b/reel/choice/board.go
@@ -0,0 +1,297 @@
+package choice
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"shallotreel.example/reel/catalogue"
+)
+
+const (
+	outlier       = 4.0 // latencies count as at most so many times the usual one
+	failurePace   = 4.0 // a failure counts as an answer that took so many times the usual
+	slowPace      = 2.0 // a target above it gets only probes while a better one serves
+	slowerWeight  = 0.15
+	fasterWeight  = 0.4
+	probePeriod   = 500 * time.Millisecond // between first attempts at a target that is known to be slow
+	suspectFactor = 1.5                    // times the usual tail, after which silence is suspect
+	failedTerm    = 300 * time.Millisecond // in which a target that refused or broke off is passed over
+	loadTerm      = 300 * time.Millisecond // after which a target's report of its load counts nothing
+	distantCost   = 1.0                    // usual answers of waiting that make another data centre worthwhile
+	ownShare      = 0.7                    // of a target's connections for the instances of its own data centre
+	forgetAfter   = time.Minute
+)
+
+// Load is what a target reported of itself with an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Verdict is what one attempt showed of its target.
+type Verdict int
+
+// Verdicts of attempts.
+const (
+	Answered  Verdict = iota
+	Refused           // it did not run the request
+	Failed            // it broke off, answered wrongly, or could not be reached
+	Abandoned         // this instance stopped waiting; shows nothing
+)
+
+// Fleet is how many instances share the connections of targets.
+type Fleet struct {
+	Home      string         // this instance's data centre
+	Instances map[string]int // instances by data centre
+	Total     int
+}
+
+// Board keeps what is known of each target; it has no clock and no lock.
+type Board struct {
+	fleet   Fleet
+	records map[string]*record
+	paces   map[string]*pace
+	random  *rand.Rand
+	sweptAt time.Time
+}
+
+type record struct {
+	factor   float64 // usual latency as a multiple of the route's
+	open     []Ticket
+	probedAt time.Time
+	failedAt time.Time
+	misses   int // failures since the last answer
+	load     Load
+	loadAt   time.Time
+	usedAt   time.Time
+}
+
+// Ticket is one open attempt.
+type Ticket struct {
+	Serial uint64
+	Route  string
+	Sent   time.Time
+}
+
+// New returns a board that knows nothing of any target.
+func New(random *rand.Rand) *Board {
+	return &Board{records: map[string]*record{}, paces: map[string]*pace{}, random: random,
+		fleet: Fleet{Total: 1}}
+}
+
+// SetFleet tells with how many instances the targets are shared.
+func (board *Board) SetFleet(fleet Fleet) {
+	board.fleet = fleet
+}
+
+// Fleet returns with how many instances the targets are shared.
+func (board *Board) Fleet() Fleet {
+	return board.fleet
+}
+
+// Pick is a chosen target and what decided it.
+type Pick struct {
+	Target catalogue.Target
+	Reason string
+}
+
+// Choose picks a target of the candidates that was not tried, for an attempt of the route.
+// Targets that serve well go before slow ones, then the own data centre, then the least busy.
+func (board *Board) Choose(now time.Time, route *catalogue.Route, candidates []catalogue.Target, service catalogue.Service, tried []string) (Pick, bool) {
+	var best catalogue.Target
+	bestScore := score{grade: unusable}
+	for _, target := range candidates {
+		if slices.Contains(tried, target.ID) {
+			continue
+		}
+		if score := board.score(now, route, target, service); score.less(bestScore) {
+			best, bestScore = target, score
+		}
+	}
+	if bestScore.grade == unusable {
+		return Pick{}, false
+	}
+	if bestScore.grade == probe {
+		board.record(best.ID).probedAt = now
+	}
+	return Pick{best, bestScore.grade.String()}, true
+}
+
+// grade orders targets by how well they serve; a lower one is better.
+type grade int
+
+const (
+	probe grade = iota // slow, but due for a look
+	good
+	slow
+	suspect // silent for longer than usual answers take
+	failing
+	full // no connection left to it
+	unusable
+)
+
+var gradeNames = []string{"probe", "good", "slow", "suspect", "failing", "full", "unusable"}
+
+func (grade grade) String() string { return gradeNames[grade] }
+
+type score struct {
+	grade grade
+	cost  float64
+}
+
+func (score score) less(other score) bool {
+	return cmp.Or(cmp.Compare(score.grade, other.grade), cmp.Compare(score.cost, other.cost)) < 0
+}
+
+func (board *Board) score(now time.Time, route *catalogue.Route, target catalogue.Target, service catalogue.Service) score {
+	record := board.record(target.ID)
+	local := target.DataCentre == board.fleet.Home
+	cost := record.factor * (1 + board.pressure(now, record, target))
+	if !local {
+		cost += distantCost
+	}
+	cost += board.random.Float64() * 0.2 // spreads equal targets
+	return score{board.grade(now, route, target, service, record), cost}
+}
+
+func (board *Board) grade(now time.Time, route *catalogue.Route, target catalogue.Target, service catalogue.Service, record *record) grade {
+	switch {
+	case len(record.open) >= board.Share(target, service):
+		return full
+	case record.misses > 0 && now.Sub(record.failedAt) < failedTerm*time.Duration(min(record.misses, 4)):
+		return failing
+	case board.silent(now, route, record):
+		return suspect
+	case record.factor <= slowPace:
+		return good
+	case len(record.open) == 0 && now.Sub(record.probedAt) >= probePeriod && target.DataCentre == board.fleet.Home:
+		return probe
+	default:
+		return slow
+	}
+}
+
+// pressure is how busy the target is, as a part of its slots.
+func (board *Board) pressure(now time.Time, record *record, target catalogue.Target) float64 {
+	slots := max(target.Slots, 1)
+	busy := float64(len(record.open))
+	if now.Sub(record.loadAt) < loadTerm {
+		busy = max(busy, float64(record.load.Running+2*record.load.Waiting))
+	}
+	return busy / float64(slots)
+}
+
+// silent reports whether an open attempt has waited for longer than answers usually take.
+func (board *Board) silent(now time.Time, route *catalogue.Route, record *record) bool {
+	for _, ticket := range record.open {
+		usual := board.pace(ticket.Route).quantile(0.99, route.Goal)
+		if now.Sub(ticket.Sent) > time.Duration(suspectFactor*float64(usual)) {
+			return true
+		}
+	}
+	return false
+}
+
+// Share returns how many connections this instance may have to the target.
+func (board *Board) Share(target catalogue.Target, service catalogue.Service) int {
+	most := float64(service.MaxConnections)
+	if most <= 0 {
+		most = 1
+	}
+	near := board.fleet.Instances[target.DataCentre]
+	far := board.fleet.Total - near
+	if target.DataCentre == board.fleet.Home {
+		if far == 0 {
+			return max(1, int(most)/max(near, 1))
+		}
+		return max(1, int(most*ownShare)/max(near, 1))
+	}
+	if near == 0 {
+		return max(1, int(most)/max(far, 1))
+	}
+	return max(1, int(most*(1-ownShare))/max(far, 1))
+}
+
+// Sent notes an attempt that was sent to the target.
+func (board *Board) Sent(now time.Time, target string, ticket Ticket) {
+	record := board.record(target)
+	record.usedAt = now
+	record.open = append(record.open, ticket)
+}
+
+// Ended notes what the attempt showed of the target.
+func (board *Board) Ended(now time.Time, target string, serial uint64, verdict Verdict, load *Load) {
+	record := board.record(target)
+	at := slices.IndexFunc(record.open, func(ticket Ticket) bool { return ticket.Serial == serial })
+	if at < 0 {
+		return
+	}
+	ticket := record.open[at]
+	record.open = slices.Delete(record.open, at, at+1)
+	record.usedAt = now
+	if load != nil {
+		record.load, record.loadAt = *load, now
+	}
+	pace := board.pace(ticket.Route)
+	waited := now.Sub(ticket.Sent)
+	switch verdict {
+	case Answered:
+		record.misses = 0
+		usual := pace.quantile(0.5, waited)
+		record.learn(float64(waited) / float64(max(usual, paceBase)))
+		if record.factor <= slowPace {
+			pace.add(waited)
+		}
+	case Refused, Failed:
+		record.misses++
+		record.failedAt = now
+		record.learn(failurePace)
+	case Abandoned:
+	}
+}
+
+func (record *record) learn(sample float64) {
+	sample = min(sample, outlier)
+	weight := slowerWeight
+	if sample < record.factor {
+		weight = fasterWeight
+	}
+	record.factor += weight * (sample - record.factor)
+}
+
+// Usual returns the latency that the share of the route's answers stays under.
+func (board *Board) Usual(route string, share float64, fallback time.Duration) time.Duration {
+	return board.pace(route).quantile(share, fallback)
+}
+
+// Sweep forgets targets that were not used for long.
+func (board *Board) Sweep(now time.Time) {
+	if now.Sub(board.sweptAt) < forgetAfter {
+		return
+	}
+	board.sweptAt = now
+	for id, record := range board.records {
+		if len(record.open) == 0 && now.Sub(record.usedAt) >= forgetAfter {
+			delete(board.records, id)
+		}
+	}
+}
+
+func (board *Board) record(id string) *record {
+	known, ok := board.records[id]
+	if !ok {
+		known = &record{factor: 1}
+		board.records[id] = known
+	}
+	return known
+}
+
+func (board *Board) pace(route string) *pace {
+	known, ok := board.paces[route]
+	if !ok {
+		known = &pace{}
+		board.paces[route] = known
+	}
+	return known
+}
--- /dev/null
+++ b/reel/choice/doc.go
@@ -0,0 +1,2 @@
+// Package choice picks the target of each attempt from what traffic has shown of the targets.
+package choice
--- /dev/null
+++ b/reel/extra/doc.go
@@ -0,0 +1,2 @@
+// Package extra bounds the arrivals at a service beyond the first of each request.
+package extra
--- a/reel/result/result.go
+++ b/reel/result/result.go
@@ -12,6 +12,7 @@
 const (
 	OK                Code = 0
 	Partial           Code = 1
+	Relayed           Code = 2
 	BadRequest        Code = 100
 	UnknownKind       Code = 101
 	UnknownEvent      Code = 102
@@ -19,6 +20,8 @@
 	TicketNeeded      Code = 104
 	TicketInvalid     Code = 105
 	TicketMismatch    Code = 106
+	UnknownRoute      Code = 107
+	TooLarge          Code = 108
 	NotReady          Code = 200
 	Isolated          Code = 201
 	Overloaded        Code = 202
@@ -42,12 +45,14 @@
 	OutcomeForgotten  Code = 403
 	Mismatch          Code = 404
 	HolderLost        Code = 405
+	Uncovered         Code = 406
 	PlatformDown      Code = 500
 	PlatformDiscarded Code = 501
 )
 
 var names = map[Code]string{
-	OK: "ok", Partial: "partial", BadRequest: "bad_request", UnknownKind: "unknown_kind",
+	OK: "ok", Partial: "partial", Relayed: "relayed", UnknownRoute: "unknown_route",
+	TooLarge: "too_large", Uncovered: "uncovered", BadRequest: "bad_request", UnknownKind: "unknown_kind",
 	UnknownEvent: "unknown_event", NotServed: "not_served", TicketNeeded: "ticket_needed",
 	TicketInvalid: "ticket_invalid", TicketMismatch: "ticket_mismatch", NotReady: "not_ready",
 	Isolated: "isolated", Overloaded: "overloaded", TooLate: "too_late",
--- /dev/null
+++ b/shallotreel/door/router.go
@@ -0,0 +1,161 @@
+package door
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"shallotreel.example/reel/catalogue"
+	"shallotreel.example/reel/choice"
+	"shallotreel.example/reel/extra"
+	"shallotreel.example/reel/member"
+)
+
+// Catalogue gives the newest view of routes and targets.
+type Catalogue interface{ View() *catalogue.View }
+
+// Router decides about targets for all requests of the process.
+type Router struct {
+	catalogue Catalogue
+	limits    extra.Limits
+	mutex     sync.Mutex
+	board     *choice.Board
+	budgets   map[string]*extra.Budget
+	turns     map[string]*turns
+	serial    uint64
+	most      int // instances known at any time, among which the slack is divided
+}
+
+// NewRouter returns a router that has seen no traffic.
+func NewRouter(catalogue Catalogue, limits extra.Limits, home string, random *rand.Rand) *Router {
+	router := &Router{catalogue: catalogue, limits: limits, board: choice.New(random),
+		budgets: map[string]*extra.Budget{}, turns: map[string]*turns{}, most: 1}
+	router.board.SetFleet(choice.Fleet{Home: home, Instances: map[string]int{home: 1}, Total: 1})
+	return router
+}
+
+// Share tells which instances share the targets.
+func (router *Router) Share(members []member.Member) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	fleet := choice.Fleet{Home: router.board.Fleet().Home, Instances: map[string]int{}}
+	for _, member := range members {
+		if member.State.Reachable() {
+			fleet.Instances[member.DataCentre]++
+			fleet.Total++
+		}
+	}
+	router.most = max(router.most, len(members))
+	router.board.SetFleet(fleet)
+}
+
+// Choose picks a target of the service.
+func (router *Router) Choose(now time.Time, route *catalogue.Route, service string, tried []string) (choice.Pick, bool) {
+	view := router.catalogue.View()
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	return router.board.Choose(now, route, view.Targets(service), view.Configuration.Services[service], tried)
+}
+
+// First counts the first arrival of a request at the service.
+func (router *Router) First(now time.Time, service string) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.budget(now, service).First(now)
+}
+
+// Spend takes an extra arrival at the service from this instance's part of the bound.
+func (router *Router) Spend(now time.Time, service string, purpose extra.Purpose) bool {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	return router.budget(now, service).Spend(now, purpose, router.most)
+}
+
+// Usual returns the latency that the share of the route's parts stays under.
+func (router *Router) Usual(route *catalogue.Route, share float64) time.Duration {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	return router.board.Usual(route.Name, share, route.Goal/3)
+}
+
+// Serial numbers an attempt.
+func (router *Router) Serial() uint64 {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.serial++
+	return router.serial
+}
+
+// sent notes an attempt that goes out.
+func (router *Router) sent(now time.Time, target string, ticket choice.Ticket) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.board.Sent(now, target, ticket)
+}
+
+// ended notes what an attempt showed of its target.
+func (router *Router) ended(now time.Time, target string, serial uint64, verdict choice.Verdict, load *choice.Load) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.board.Ended(now, target, serial, verdict, load)
+}
+
+// Sweep forgets what has not been used for long.
+func (router *Router) Sweep(now time.Time) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.board.Sweep(now)
+}
+
+// Services returns the services that the request goes to, for a weighted route the one whose turn it is.
+func (router *Router) Services(route *catalogue.Route) []string {
+	if len(route.Weighted) == 0 {
+		return route.Names()
+	}
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	known, ok := router.turns[route.Name]
+	if !ok || !slices.Equal(known.weights, route.Weighted) {
+		known = newTurns(route.Weighted)
+		router.turns[route.Name] = known
+	}
+	return []string{known.next()}
+}
+
+func (router *Router) budget(now time.Time, service string) *extra.Budget {
+	known, ok := router.budgets[service]
+	if !ok {
+		known = extra.NewBudget(now, router.limits)
+		router.budgets[service] = known
+	}
+	return known
+}
+
+// turns deals the requests of a route to its services by weight, evenly in every stretch.
+type turns struct {
+	weights []catalogue.Weight
+	credit  []float64
+	total   float64
+}
+
+func newTurns(weights []catalogue.Weight) *turns {
+	turns := &turns{weights: weights, credit: make([]float64, len(weights))}
+	for _, weight := range weights {
+		turns.total += max(weight.Weight, 0)
+	}
+	return turns
+}
+
+func (turns *turns) next() string {
+	best := 0
+	for i, weight := range turns.weights {
+		turns.credit[i] += max(weight.Weight, 0)
+		if cmp.Compare(turns.credit[i], turns.credit[best]) > 0 {
+			best = i
+		}
+	}
+	turns.credit[best] -= turns.total
+	return turns.weights[best].Service
+}
--- /dev/null
+++ b/shallotreel/feed/feed.go
@@ -0,0 +1,167 @@
+package feed
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/sirupsen/logrus"
+
+	"shallotreel.example/platform"
+	"shallotreel.example/reel/catalogue"
+)
+
+const (
+	tickPeriod   = 250 * time.Millisecond
+	watchPause   = 700 * time.Millisecond // between two watches, so that one call brings many reports
+	watchWait    = time.Second
+	callMost     = time.Second // beyond what a watch waits by itself
+	backoffLeast = 100 * time.Millisecond
+	backoffMost  = 800 * time.Millisecond
+)
+
+// Feed keeps the catalogue in one actor and publishes its views.
+type Feed struct {
+	ctx       context.Context
+	root      *actor.RootContext
+	pid       *actor.PID
+	store     *platform.Store
+	log       logrus.FieldLogger
+	catalogue *catalogue.Catalogue
+	view      atomic.Pointer[catalogue.View]
+	calls     atomic.Int64
+	failing   bool
+	refused   uint64 // revision of the newest configuration that could not be read
+}
+
+// Messages of the actor.
+type (
+	tick   struct{}
+	failed struct{ err error }
+	page   struct {
+		reading     platform.Reading
+		first, last bool
+	}
+	news struct{ reading platform.Reading }
+)
+
+// New returns a feed that does nothing until Start.
+func New(ctx context.Context, system *actor.ActorSystem, store *platform.Store, log logrus.FieldLogger) *Feed {
+	feed := &Feed{ctx: ctx, root: system.Root, store: store, log: log, catalogue: catalogue.New()}
+	feed.view.Store(feed.catalogue.View())
+	return feed
+}
+
+// Start starts the actor and its reading of the store.
+func (feed *Feed) Start() {
+	feed.pid = feed.root.Spawn(actor.PropsFromFunc(feed.receive))
+	go feed.clock()
+	go feed.follow()
+}
+
+// View returns what requests are routed by.
+func (feed *Feed) View() *catalogue.View {
+	return feed.view.Load()
+}
+
+// Calls returns how many calls were made to the store.
+func (feed *Feed) Calls() int64 {
+	return feed.calls.Load()
+}
+
+func (feed *Feed) clock() {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-feed.ctx.Done():
+			return
+		case <-ticker.C:
+			feed.root.Send(feed.pid, tick{})
+		}
+	}
+}
+
+func (feed *Feed) receive(actorContext actor.Context) {
+	now := time.Now()
+	switch message := actorContext.Message().(type) {
+	case tick:
+		feed.note(feed.catalogue.Tick(now)...)
+	case failed:
+		feed.catalogue.Failed(now)
+		if !feed.failing {
+			feed.failing = true
+			feed.log.WithError(message.err).Warn("store lost")
+		}
+	case page:
+		feed.answered()
+		if message.first {
+			feed.catalogue.BeginListing()
+		}
+		feed.apply(now, message.reading.Items)
+		if message.last {
+			feed.note(feed.catalogue.EndListing(now)...)
+		}
+	case news:
+		feed.answered()
+		feed.apply(now, message.reading.Items)
+	}
+	feed.view.Store(feed.catalogue.View())
+}
+
+func (feed *Feed) answered() {
+	if feed.failing {
+		feed.failing = false
+		feed.log.Info("store regained")
+	}
+}
+
+func (feed *Feed) apply(now time.Time, items []platform.Item) {
+	for _, item := range items {
+		if id, ok := item.TargetID(); ok {
+			feed.applyTarget(now, id, item)
+		} else if item.Configures() && !item.Deleted {
+			feed.applyConfiguration(item)
+		}
+	}
+}
+
+func (feed *Feed) applyTarget(now time.Time, id string, item platform.Item) {
+	if item.Deleted {
+		if change, ok := feed.catalogue.Remove(now, id); ok {
+			feed.note(change)
+		}
+		return
+	}
+	target, err := item.Target()
+	if err != nil {
+		feed.log.WithError(err).WithFields(logrus.Fields{"target": id, "revision": item.Revision}).
+			Warn("registration ignored")
+		return
+	}
+	if change, ok := feed.catalogue.Register(now, target); ok {
+		feed.note(change)
+	}
+}
+
+func (feed *Feed) applyConfiguration(item platform.Item) {
+	configuration, err := item.Configuration()
+	if err != nil {
+		if item.Revision != feed.refused {
+			feed.refused = item.Revision
+			feed.log.WithError(err).WithField("revision", item.Revision).Error("configuration refused, the last one stays")
+		}
+		return
+	}
+	if feed.catalogue.Configure(configuration) {
+		feed.log.WithFields(logrus.Fields{"version": configuration.Version, "revision": item.Revision,
+			"routes": len(configuration.Routes)}).Info("configuration in force")
+	}
+}
+
+func (feed *Feed) note(changes ...catalogue.Change) {
+	for _, change := range changes {
+		feed.log.WithFields(logrus.Fields{"target": change.Target, "change": change.What}).Info("target changed")
+	}
+}
--- /dev/null
+++ b/shallotreel/front/front.go
@@ -0,0 +1,222 @@
+package front
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"io"
+	"log"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"shallotreel.example/platform"
+	"shallotreel.example/reel/extra"
+	"shallotreel.example/reel/member"
+	"shallotreel.example/shallotreel/door"
+	"shallotreel.example/shallotreel/feed"
+	"shallotreel.example/shallotreel/line"
+	"shallotreel.example/shallotreel/roster"
+	"shallotreel.example/shallotreel/settings"
+)
+
+const (
+	sweepPeriod   = time.Second
+	metricsPeriod = time.Second
+	storeDial     = 500 * time.Millisecond
+	readTimeout   = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	headerMost    = 64 << 10 // bytes
+	gcPercent     = 200      // small heaps collect too often at the usual setting
+	addressKeep   = time.Second
+	addressMost   = 64
+	staleFactor   = 3 // callers may keep an address for so many times as long
+	endMargin     = 500 * time.Millisecond
+)
+
+// Front is one running instance.
+type Front struct {
+	settings settings.Front
+	log      *logrus.Logger
+	ctx      context.Context
+	cancel   context.CancelFunc
+	system   *actor.ActorSystem
+	feed     *feed.Feed
+	roster   *roster.Roster
+	router   *door.Router
+	pool     *line.Pool
+	door     *door.Door
+	servers  []*http.Server
+	callers  *http.Server
+	stopping atomic.Bool
+	ready    atomic.Bool
+	reporter tallyprom.Reporter
+	scope    tally.Scope
+	closer   io.Closer
+}
+
+// Start opens the addresses of the settings and starts all parts.
+func Start(settings settings.Front, logger *logrus.Logger) (*Front, error) {
+	debug.SetGCPercent(gcPercent)
+	ctx, cancel := context.WithCancel(context.Background())
+	front := &Front{settings: settings, log: logger, ctx: ctx, cancel: cancel, pool: line.NewPool()}
+	front.openMetrics()
+	front.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
+		return slog.New(slog.DiscardHandler)
+	}))
+	if err := front.open(); err != nil {
+		front.close()
+		return nil, err
+	}
+	logger.WithFields(logrus.Fields{"name": settings.Name, "data_centre": settings.DataCentre,
+		"callers": settings.CallerAddress.String()}).Info("started")
+	return front, nil
+}
+
+func (front *Front) openMetrics() {
+	front.reporter = tallyprom.NewReporter(tallyprom.Options{})
+	front.scope, front.closer = tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "shallotreel", CachedReporter: front.reporter, Separator: "_",
+		SanitizeOptions: &tallyprom.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+	}, metricsPeriod)
+}
+
+func (front *Front) open() error {
+	var seed [16]byte
+	crand.Read(seed[:]) // does not fail
+	random := func() *rand.Rand {
+		return rand.New(rand.NewPCG(binary.BigEndian.Uint64(seed[:]), binary.BigEndian.Uint64(seed[8:])))
+	}
+	config := front.settings
+	front.feed = feed.New(front.ctx, front.system, platform.NewStore(config.StoreAddress, storeDial), front.log)
+	limits := extra.Limits{Ratio: config.Extra.Ratio, Window: config.Extra.Window.D(), Slack: config.Extra.Slack}
+	front.router = door.NewRouter(front.feed, limits, config.DataCentre, random())
+	self := member.Member{Name: config.Name, DataCentre: config.DataCentre, Caller: config.CallerAddress,
+		Peer: config.PeerAddress, Incarnation: uint64(time.Now().UnixMilli()), State: member.Joining}
+	var err error
+	front.roster, err = roster.Listen(front.ctx, front.system, roster.Config{Self: self, Seeds: config.Seeds,
+		Log: front.log, Random: random(), Watcher: front.router.Share})
+	if err != nil {
+		return err
+	}
+	front.door = door.New(front.feed, front.router, front.pool, newRecorder(front.log, front.scope))
+	front.callers, err = front.serve(config.CallerAddress, front.door)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	if _, err = front.serve(config.ReadyAddress, http.HandlerFunc(front.answerReady)); err != nil {
+		return errors.Wrap(err, "listen for readiness checks")
+	}
+	if _, err = front.serve(config.ResolveAddress, http.HandlerFunc(front.answerResolve)); err != nil {
+		return errors.Wrap(err, "listen for address questions")
+	}
+	if _, err = front.serve(config.MetricsAddress, front.reporter.HTTPHandler()); err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	front.roster.Start()
+	front.feed.Start()
+	go front.clock()
+	return nil
+}
+
+func (front *Front) serve(address netip.AddrPort, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: headerMost, ErrorLog: log.New(io.Discard, "", 0)}
+	front.servers = append(front.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			front.log.WithError(err).WithField("address", address.String()).Error("listener failed")
+		}
+	}()
+	return server, nil
+}
+
+func (front *Front) clock() {
+	ticker := time.NewTicker(sweepPeriod / 10)
+	defer ticker.Stop()
+	swept := time.Now()
+	for {
+		select {
+		case <-front.ctx.Done():
+			return
+		case now := <-ticker.C:
+			front.prepare()
+			if now.Sub(swept) >= sweepPeriod {
+				swept = now
+				front.pool.Sweep(now)
+				front.router.Sweep(now)
+				front.measure()
+			}
+		}
+	}
+}
+
+// prepare tells the others that this instance takes work once it has a configuration.
+func (front *Front) prepare() {
+	if front.ready.Load() || front.stopping.Load() || front.feed.View().Configuration == nil {
+		return
+	}
+	front.ready.Store(true)
+	front.roster.Ready()
+	front.log.WithField("version", front.feed.View().Configuration.Version).Info("ready")
+}
+
+func (front *Front) measure() {
+	open, dials := front.pool.Counts()
+	front.scope.Gauge("target_connections").Update(float64(open))
+	front.scope.Gauge("target_dials").Update(float64(dials))
+	front.scope.Gauge("store_calls").Update(float64(front.feed.Calls()))
+	front.scope.Gauge("members").Update(float64(len(front.roster.Members())))
+	front.scope.Gauge("running").Update(float64(front.door.Running()))
+}
+
+// Reload takes the settings that may change while the process runs.
+func (front *Front) Reload(changed settings.Front) {
+	front.roster.Reseed(changed.Seeds)
+	front.log.WithField("seeds", changed.Seeds).Info("settings reloaded")
+}
+
+// Stop leaves the fleet, serves while callers may still hold this address, finishes what runs and closes.
+func (front *Front) Stop(reason string) {
+	front.log.WithField("reason", reason).Info("stopping")
+	begun := time.Now()
+	front.stopping.Store(true)
+	front.door.Close()
+	front.roster.Leave()
+	keep := min(staleFactor*addressKeep, front.settings.Grace.D()/2)
+	time.Sleep(keep)
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(front.settings.Grace.D()-endMargin))
+	defer cancel()
+	if err := front.callers.Shutdown(ctx); err != nil {
+		front.log.WithError(err).WithField("running", front.door.Running()).Warn("callers were still served at the stop")
+	}
+	front.close()
+	front.log.Info("stopped")
+}
+
+func (front *Front) close() {
+	front.cancel()
+	for _, server := range front.servers {
+		server.Close()
+	}
+	if front.roster != nil {
+		front.roster.Close()
+	}
+	front.system.Shutdown()
+	front.closer.Close()
+}
--- /dev/null
+++ b/shallotreel/line/line.go
@@ -0,0 +1,122 @@
+package line
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	idleDefault = 2 * time.Second // if the target does not tell its timeout
+	idleSafety  = 0.7             // of the target's timeout, after which a connection is not used again
+	answerMost  = 8 << 20         // bytes of one answer
+	writeInline = 8 << 10         // bytes that fit the socket's buffer, so that a write cannot wait
+)
+
+// line is one connection to a target; its fields are guarded by the pool's lock.
+type line struct {
+	pool    *Pool
+	key     netip.AddrPort
+	conn    net.Conn
+	reader  *bufio.Reader
+	call    *Call // the one in flight
+	closed  bool
+	written atomic.Bool // the whole request was sent
+	expires time.Time   // of an idle connection
+	idleAt  time.Time
+}
+
+// write sends the request; one that may not fit the socket's buffer is sent in the background.
+func (line *line) write(call *Call) {
+	line.written.Store(false)
+	if len(call.Data) <= writeInline {
+		line.send(call)
+		return
+	}
+	go line.send(call)
+}
+
+func (line *line) send(call *Call) {
+	if _, err := line.conn.Write(call.Data); err != nil {
+		line.pool.drop(line)
+		call.finish(Result{Sent: true, Err: errors.Wrap(err, "send request")})
+		return
+	}
+	line.written.Store(true)
+}
+
+// read delivers answers until the connection cannot be used any more.
+func (line *line) read() {
+	defer line.pool.drop(line)
+	for {
+		_, err := line.reader.Peek(1)
+		call := line.pool.current(line)
+		if call == nil {
+			return // closed by the target, or bytes that nobody asked for
+		}
+		if err != nil {
+			call.finish(Result{Sent: true, Err: errors.Wrap(err, "await answer")})
+			return
+		}
+		response, body, err := line.answer(call)
+		if err != nil {
+			call.finish(Result{Sent: true, Err: err})
+			return
+		}
+		if !call.Echoes(response.Header) {
+			call.finish(Result{Sent: true, Err: errors.New("the answer names another request")})
+			return
+		}
+		keep := !response.Close && line.written.Load() && line.reader.Buffered() == 0
+		if keep {
+			keep = line.pool.release(line, idleTime(response.Header))
+		}
+		call.finish(Result{Sent: true, Response: response, Body: body})
+		if !keep {
+			return
+		}
+	}
+}
+
+// answer reads one whole answer and passes over interim ones.
+func (line *line) answer(call *Call) (*http.Response, []byte, error) {
+	for {
+		response, err := http.ReadResponse(line.reader, &http.Request{Method: call.Method})
+		if err != nil {
+			return nil, nil, errors.Wrap(err, "read head of answer")
+		}
+		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		body, err := io.ReadAll(io.LimitReader(response.Body, answerMost+1))
+		if err != nil {
+			return nil, nil, errors.Wrap(err, "read body of answer")
+		}
+		if len(body) > answerMost {
+			return nil, nil, errors.New("the answer is too large")
+		}
+		return response, body, nil
+	}
+}
+
+// idleTime is how long a connection may idle before it is used again.
+func idleTime(header http.Header) time.Duration {
+	for option := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		seconds, ok := strings.CutPrefix(strings.TrimSpace(option), "timeout=")
+		if !ok {
+			continue
+		}
+		if count, err := strconv.Atoi(seconds); err == nil {
+			return time.Duration(idleSafety * float64(count) * float64(time.Second))
+		}
+	}
+	return idleDefault
+}
--- a/shallotreel/main.go
+++ b/shallotreel/main.go
@@ -34,12 +34,21 @@
 
 func run() error {
 	var options options
-	if _, err := flags.Parse(&options); err != nil {
+	parser := flags.NewParser(&options, flags.Default)
+	parser.SubcommandsOptional = true
+	if _, err := parser.AddCommand("front", "serve callers on the users' platform",
+		"Reads its settings from --settings or from the file that the environment names.", &struct{}{}); err != nil {
+		return errors.Wrap(err, "define commands")
+	}
+	if _, err := parser.Parse(); err != nil {
 		if flags.WroteHelp(err) {
 			return nil
 		}
 		os.Exit(2)
 	}
+	if parser.Active != nil {
+		return runFront(options)
+	}
 	if options.Version {
 		fmt.Println("shallotreel", version)
 		return nil
