Hold lapses only from the store's return, drop reused addresses at once, and leave crowded targets alone

Change: a lapse ends 2.3 s after the store's return; a target that answers 421 is not asked again at that address; a target that resets new connections is asked for one now and then while requests wait for one that is idle; idle connections are kept 1.5 s.

--- a/reel/catalogue/catalogue.go
+++ b/reel/catalogue/catalogue.go
@@ -8,9 +8,8 @@
 )
 
 const (
-	// unsettledTerm is how long after a failed call removals may be lapses of entries and not ends of targets.
-	unsettledTerm = 4 * time.Second
-	// lapseTerm is how long a living target may take to register again after the store is back.
+	// lapseTerm is how long after the store's return a living target may take to register again: two seconds
+	// by the users' word, and a moment to read it.
 	lapseTerm = 2300 * time.Millisecond
 	// forgetTerm is how long a removed target's last sequence number is kept.
 	forgetTerm = 2 * time.Minute
@@ -50,7 +49,8 @@
 type Catalogue struct {
 	configuration *Configuration
 	entries       map[string]*entry
-	failedAt      time.Time // the newest failed call to the store
+	failing       bool      // whether the newest call to the store failed
+	returnedAt    time.Time // of the store after it failed
 	serial        uint64
 	view          *View
 }
@@ -124,7 +124,7 @@
 	known.goneAt = now
 	what := "removed"
 	if catalogue.Unsettled(now) {
-		known.goneAt = now.Add(lapseTerm)
+		known.goneAt = catalogue.returnedAt.Add(lapseTerm)
 		what = "lapsed while the store was unsettled"
 	}
 	catalogue.changed()
@@ -152,13 +152,21 @@
 }
 
 // Failed notes that a call to the store failed or was late.
-func (catalogue *Catalogue) Failed(now time.Time) {
-	catalogue.failedAt = now
+func (catalogue *Catalogue) Failed() {
+	catalogue.failing = true
 }
 
-// Unsettled reports whether the store failed so lately that removals prove little.
+// Answered notes that the store answered a call.
+func (catalogue *Catalogue) Answered(now time.Time) {
+	if catalogue.failing {
+		catalogue.failing = false
+		catalogue.returnedAt = now
+	}
+}
+
+// Unsettled reports whether the store is back so lately that a removal may be the lapse of a living target.
 func (catalogue *Catalogue) Unsettled(now time.Time) bool {
-	return !catalogue.failedAt.IsZero() && now.Sub(catalogue.failedAt) < unsettledTerm
+	return !catalogue.returnedAt.IsZero() && now.Sub(catalogue.returnedAt) < lapseTerm
 }
 
 // Tick lets time pass: lapsed targets that did not register again are gone.
--- /dev/null
+++ b/reel/catalogue/catalogue_test.go
@@ -0,0 +1,142 @@
+package catalogue
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func at(milliseconds int) time.Time {
+	return epoch.Add(time.Duration(milliseconds) * time.Millisecond)
+}
+
+func target(id string, seq uint64) Target {
+	return Target{ID: id, Service: "menus", Address: netip.MustParseAddrPort("10.0.0.1:80"), DataCentre: "a", Slots: 3, Seq: seq}
+}
+
+func assertServes(t *testing.T, catalogue *Catalogue, ids ...string) {
+	t.Helper()
+	targets := catalogue.View().Targets("menus")
+	if len(targets) != len(ids) {
+		t.Fatalf("%d targets take work, want %d (%v)", len(targets), len(ids), ids)
+	}
+	for i, id := range ids {
+		if targets[i].ID != id {
+			t.Fatalf("target %d is %s, want %s", i, targets[i].ID, id)
+		}
+	}
+}
+
+func TestRemoval(t *testing.T) {
+	t.Run("takes effect at once while the store answers", func(t *testing.T) {
+		catalogue := New()
+		catalogue.Register(at(0), target("one", 1))
+		catalogue.Remove(at(100), "one")
+		assertServes(t, catalogue)
+	})
+	t.Run("is held as a lapse just after the store is back", func(t *testing.T) {
+		catalogue := New()
+		catalogue.Register(at(0), target("one", 1))
+		catalogue.Failed()
+		catalogue.Answered(at(5000))
+		catalogue.Remove(at(5000), "one")
+		assertServes(t, catalogue, "one")
+		catalogue.Tick(at(5000 + 2300))
+		assertServes(t, catalogue)
+	})
+	t.Run("is not held longer when it is learned late after the return", func(t *testing.T) {
+		catalogue := New()
+		catalogue.Register(at(0), target("one", 1))
+		catalogue.Failed()
+		catalogue.Answered(at(5000))
+		catalogue.Remove(at(7120), "one")
+		catalogue.Tick(at(7300))
+		assertServes(t, catalogue)
+	})
+	t.Run("ends when the living target registers again", func(t *testing.T) {
+		catalogue := New()
+		catalogue.Register(at(0), target("one", 1))
+		catalogue.Failed()
+		catalogue.Answered(at(5000))
+		catalogue.Remove(at(5000), "one")
+		catalogue.Register(at(6000), target("one", 2))
+		catalogue.Tick(at(9000))
+		assertServes(t, catalogue, "one")
+	})
+}
+
+func TestReports(t *testing.T) {
+	t.Run("an older report does not bring a leaving target back", func(t *testing.T) {
+		catalogue := New()
+		catalogue.Register(at(0), target("one", 4))
+		leaving := target("one", 5)
+		leaving.Leaving = true
+		catalogue.Register(at(10), leaving)
+		catalogue.Register(at(20), target("one", 3))
+		catalogue.Register(at(30), target("one", 6))
+		assertServes(t, catalogue)
+	})
+	t.Run("an older report does not bring a removed target back", func(t *testing.T) {
+		catalogue := New()
+		catalogue.Register(at(0), target("one", 4))
+		catalogue.Remove(at(10), "one")
+		catalogue.Register(at(20), target("one", 4))
+		assertServes(t, catalogue)
+	})
+	t.Run("a new process under the same id starts anew", func(t *testing.T) {
+		catalogue := New()
+		leaving := target("one", 9)
+		leaving.Leaving = true
+		catalogue.Register(at(0), leaving)
+		fresh := target("one", 1)
+		fresh.Born = 77
+		catalogue.Register(at(10), fresh)
+		assertServes(t, catalogue, "one")
+	})
+	t.Run("a full reading removes what it does not name", func(t *testing.T) {
+		catalogue := New()
+		catalogue.Register(at(0), target("one", 1))
+		catalogue.Register(at(0), target("two", 1))
+		catalogue.BeginListing()
+		catalogue.Register(at(10), target("two", 2))
+		catalogue.EndListing(at(10))
+		assertServes(t, catalogue, "two")
+	})
+}
+
+func TestConfigure(t *testing.T) {
+	catalogue := New()
+	if !catalogue.Configure(NewConfiguration(7, nil, nil, Limits{})) {
+		t.Error("the first version did not take force")
+	}
+	if catalogue.Configure(NewConfiguration(5, nil, nil, Limits{})) {
+		t.Error("an older version took force")
+	}
+	if got := catalogue.View().Configuration.Version; got != 7 {
+		t.Errorf("version %d is in force, want 7", got)
+	}
+}
+
+func TestFind(t *testing.T) {
+	routes := []Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "A.example", Prefix: "/x/y/"},
+	}
+	configuration := NewConfiguration(1, routes, nil, Limits{})
+	for _, test := range []struct{ host, path, want string }{
+		{"a.example", "/x/2f", "short"},
+		{"A.EXAMPLE:80", "/x/y/z", "long"},
+		{"a.example", "/x", ""},
+		{"b.example", "/x/", ""},
+	} {
+		name := ""
+		if route, ok := configuration.Find(test.host, test.path); ok {
+			name = route.Name
+		}
+		if name != test.want {
+			t.Errorf("Find(%q, %q) = %q, want %q", test.host, test.path, name, test.want)
+		}
+	}
+}
--- a/reel/choice/board.go
+++ b/reel/choice/board.go
@@ -21,6 +21,7 @@
 	loadTerm      = 300 * time.Millisecond // after which a target's report of its load counts nothing
 	distantCost   = 1.0                    // usual answers of waiting that make another data centre worthwhile
 	ownShare      = 0.7                    // of a target's connections for the instances of its own data centre
+	misdirectTerm = 10 * time.Second       // in which a target whose address another process has is not asked
 	forgetAfter   = time.Minute
 )
 
@@ -34,10 +35,12 @@
 
 // Verdicts of attempts.
 const (
-	Answered  Verdict = iota
-	Refused           // it did not run the request
-	Failed            // it broke off, answered wrongly, or could not be reached
-	Abandoned         // this instance stopped waiting; shows nothing
+	Answered    Verdict = iota
+	Refused             // it did not run the request
+	Misdirected         // another process has its address
+	Crowded             // it takes no more connections
+	Failed              // it broke off, answered wrongly, or could not be reached
+	Abandoned           // this instance stopped waiting; shows nothing
 )
 
 // Fleet is how many instances share the connections of targets.
@@ -65,6 +68,8 @@
 	load     Load
 	loadAt   time.Time
 	usedAt   time.Time
+	wrongAt  time.Time        // when another process answered at its address
+	wrong    catalogue.Target // as it was registered then
 }
 
 // Ticket is one open attempt.
@@ -96,20 +101,20 @@
 	Reason string
 }
 
-// Choose picks a target of the candidates that was not tried, for an attempt of the route.
+// Choose picks a target of the candidates that was not tried and has room, for an attempt of the route.
 // Targets that serve well go before slow ones, then the own data centre, then the least busy.
-func (board *Board) Choose(now time.Time, route *catalogue.Route, candidates []catalogue.Target, service catalogue.Service, tried []string) (Pick, bool) {
+func (board *Board) Choose(now time.Time, route *catalogue.Route, candidates []catalogue.Target, service catalogue.Service, tried []string, room func(catalogue.Target) bool) (Pick, bool) {
 	var best catalogue.Target
 	bestScore := score{grade: unusable}
 	for _, target := range candidates {
-		if slices.Contains(tried, target.ID) {
+		if slices.Contains(tried, target.ID) || !room(target) {
 			continue
 		}
 		if score := board.score(now, route, target, service); score.less(bestScore) {
 			best, bestScore = target, score
 		}
 	}
-	if bestScore.grade == unusable {
+	if bestScore.grade >= full {
 		return Pick{}, false
 	}
 	if bestScore.grade == probe {
@@ -157,6 +162,8 @@
 
 func (board *Board) grade(now time.Time, route *catalogue.Route, target catalogue.Target, service catalogue.Service, record *record) grade {
 	switch {
+	case now.Sub(record.wrongAt) < misdirectTerm && record.wrong.Address == target.Address && record.wrong.Born == target.Born:
+		return unusable
 	case len(record.open) >= board.Share(target, service):
 		return full
 	case record.misses > 0 && now.Sub(record.failedAt) < failedTerm*time.Duration(min(record.misses, 4)):
@@ -221,8 +228,8 @@
 }
 
 // Ended notes what the attempt showed of the target.
-func (board *Board) Ended(now time.Time, target string, serial uint64, verdict Verdict, load *Load) {
-	record := board.record(target)
+func (board *Board) Ended(now time.Time, target catalogue.Target, serial uint64, verdict Verdict, load *Load) {
+	record := board.record(target.ID)
 	at := slices.IndexFunc(record.open, func(ticket Ticket) bool { return ticket.Serial == serial })
 	if at < 0 {
 		return
@@ -243,11 +250,13 @@
 		if record.factor <= slowPace {
 			pace.add(waited)
 		}
+	case Misdirected:
+		record.wrongAt, record.wrong = now, target
 	case Refused, Failed:
 		record.misses++
 		record.failedAt = now
 		record.learn(failurePace)
-	case Abandoned:
+	case Crowded, Abandoned:
 	}
 }
 
--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -10,9 +10,9 @@
 const (
 	hedgeShare = 0.94                  // of usual answers that arrive before another target is asked
 	hedgeLeast = 5 * time.Millisecond  // hedges sooner than this race usual answers
-	roomDelay  = 15 * time.Millisecond // between two looks for a free connection
-	roomMost   = 6                     // looks before the part is given up
-	backMost   = 5                     // refusals that one part takes
+	roomDelay  = 10 * time.Millisecond // between two looks for a free connection
+	roomShare  = 4                     // the part of the goal for which a request waits for its first connection
+	backMost   = 8                     // refusals that one part takes
 	returnSoon = 150 * time.Millisecond
 	answerSlip = 5 * time.Millisecond // between the last moment to answer and the deadline
 )
@@ -36,7 +36,6 @@
 	runs     int // attempts that are not proved not to have run
 	live     int
 	refused  int
-	looks    int
 	arrived  bool // whether the service may have seen the request
 	answer   *Answer
 	dead     bool
@@ -204,10 +203,18 @@
 	return []Action{Send{Serial: serial, Service: part.service, Pick: pick, Why: why, Until: machine.plan.Deadline}}
 }
 
+// lookAgain waits a moment for a connection: a part of a gathered request as long as the answer is worth most,
+// another request only briefly, since its caller can try elsewhere.
 func (machine *Machine) lookAgain(now time.Time, part *part) []Action {
-	part.looks++
-	if part.looks > roomMost || part.live > 0 {
-		part.dead = part.live == 0
+	if part.live > 0 {
+		return nil
+	}
+	patience := machine.plan.Goal
+	if !machine.gathers() {
+		patience = machine.plan.Begun.Add(machine.plan.Goal.Sub(machine.plan.Begun) / roomShare)
+	}
+	if !now.Before(patience) {
+		part.dead = true
 		return nil
 	}
 	part.retryAt = now.Add(roomDelay)
--- a/shallotreel/door/router.go
+++ b/shallotreel/door/router.go
@@ -11,6 +11,7 @@
 	"shallotreel.example/reel/choice"
 	"shallotreel.example/reel/extra"
 	"shallotreel.example/reel/member"
+	"shallotreel.example/shallotreel/line"
 )
 
 // Catalogue gives the newest view of routes and targets.
@@ -19,6 +20,7 @@
 // Router decides about targets for all requests of the process.
 type Router struct {
 	catalogue Catalogue
+	pool      *line.Pool
 	limits    extra.Limits
 	mutex     sync.Mutex
 	board     *choice.Board
@@ -29,8 +31,8 @@
 }
 
 // NewRouter returns a router that has seen no traffic.
-func NewRouter(catalogue Catalogue, limits extra.Limits, home string, random *rand.Rand) *Router {
-	router := &Router{catalogue: catalogue, limits: limits, board: choice.New(random),
+func NewRouter(catalogue Catalogue, pool *line.Pool, limits extra.Limits, home string, random *rand.Rand) *Router {
+	router := &Router{catalogue: catalogue, pool: pool, limits: limits, board: choice.New(random),
 		budgets: map[string]*extra.Budget{}, turns: map[string]*turns{}, most: 1}
 	router.board.SetFleet(choice.Fleet{Home: home, Instances: map[string]int{home: 1}, Total: 1})
 	return router
@@ -56,7 +58,8 @@
 	view := router.catalogue.View()
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
-	return router.board.Choose(now, route, view.Targets(service), view.Configuration.Services[service], tried)
+	room := func(target catalogue.Target) bool { return router.pool.Room(now, target.Address) }
+	return router.board.Choose(now, route, view.Targets(service), view.Configuration.Services[service], tried, room)
 }
 
 // First counts the first arrival of a request at the service.
@@ -96,7 +99,7 @@
 }
 
 // ended notes what an attempt showed of its target.
-func (router *Router) ended(now time.Time, target string, serial uint64, verdict choice.Verdict, load *choice.Load) {
+func (router *Router) ended(now time.Time, target catalogue.Target, serial uint64, verdict choice.Verdict, load *choice.Load) {
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
 	router.board.Ended(now, target, serial, verdict, load)
--- a/shallotreel/door/run.go
+++ b/shallotreel/door/run.go
@@ -101,7 +101,7 @@
 func (run *run) ended(send query.Send, ended line.Result) {
 	answer, load, verdict := run.judge(ended)
 	answer.Serial = send.Serial
-	run.door.router.ended(time.Now(), send.Pick.Target.ID, send.Serial, verdict, load)
+	run.door.router.ended(time.Now(), send.Pick.Target, send.Serial, verdict, load)
 	select {
 	case run.ends <- answer:
 	default: // the request has ended and takes no more
@@ -114,13 +114,19 @@
 		if ended.Sent {
 			answer.Fate = query.MayHaveRun
 		}
-		if ended.Err == line.ErrGivenUp {
+		switch ended.Err {
+		case line.ErrGivenUp:
 			return answer, nil, choice.Abandoned
+		case line.ErrCrowded:
+			return answer, nil, choice.Crowded
+		default:
+			return answer, nil, choice.Failed
 		}
-		return answer, nil, choice.Failed
 	}
 	answer, load := run.forward.Answer(ended.Response, ended.Body)
 	switch {
+	case answer.Status == http.StatusMisdirectedRequest:
+		return answer, load, choice.Misdirected
 	case answer.Fate == query.NotRun:
 		return answer, load, choice.Refused
 	case answer.Status == 0 || answer.Status >= http.StatusInternalServerError:
--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -16,7 +16,9 @@
 	tickPeriod   = 250 * time.Millisecond
 	watchPause   = 700 * time.Millisecond // between two watches, so that one call brings many reports
 	watchWait    = time.Second
-	callMost     = time.Second // beyond what a watch waits by itself
+	settlePause  = 200 * time.Millisecond // the same while targets may be registering again
+	settleTerm   = 3 * time.Second        // after a failed call
+	callMost     = time.Second            // beyond what a watch waits by itself
 	backoffLeast = 100 * time.Millisecond
 	backoffMost  = 800 * time.Millisecond
 )
@@ -89,13 +91,13 @@
 	case tick:
 		feed.note(feed.catalogue.Tick(now)...)
 	case failed:
-		feed.catalogue.Failed(now)
+		feed.catalogue.Failed()
 		if !feed.failing {
 			feed.failing = true
 			feed.log.WithError(message.err).Warn("store lost")
 		}
 	case page:
-		feed.answered()
+		feed.answered(now)
 		if message.first {
 			feed.catalogue.BeginListing()
 		}
@@ -104,13 +106,14 @@
 			feed.note(feed.catalogue.EndListing(now)...)
 		}
 	case news:
-		feed.answered()
+		feed.answered(now)
 		feed.apply(now, message.reading.Items)
 	}
 	feed.view.Store(feed.catalogue.View())
 }
 
-func (feed *Feed) answered() {
+func (feed *Feed) answered(now time.Time) {
+	feed.catalogue.Answered(now)
 	if feed.failing {
 		feed.failing = false
 		feed.log.Info("store regained")
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -12,6 +12,7 @@
 func (feed *Feed) follow() {
 	backoff := backoffLeast
 	revision, listed := uint64(0), false
+	var failedAt time.Time
 	for feed.ctx.Err() == nil {
 		var err error
 		if !listed {
@@ -23,10 +24,11 @@
 		switch {
 		case err == nil:
 			backoff = backoffLeast
-			feed.sleep(watchPause)
+			feed.sleep(pauseAfter(failedAt))
 		case errors.Is(err, platform.ErrHistoryLost):
 			listed = false
 		default:
+			failedAt = time.Now()
 			feed.root.Send(feed.pid, failed{err})
 			feed.sleep(backoff)
 			backoff = min(2*backoff, backoffMost)
@@ -34,6 +36,14 @@
 	}
 }
 
+// pauseAfter is the pause between two watches: short while targets may be registering again after a failure.
+func pauseAfter(failedAt time.Time) time.Duration {
+	if !failedAt.IsZero() && time.Since(failedAt) < settleTerm {
+		return settlePause
+	}
+	return watchPause
+}
+
 // list reads all keys, page by page, and returns the revision of the first page, from which a watch misses nothing.
 func (feed *Feed) list() (uint64, error) {
 	var revision uint64
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -101,7 +101,7 @@
 	config := front.settings
 	front.feed = feed.New(front.ctx, front.system, platform.NewStore(config.StoreAddress, storeDial), front.log)
 	limits := extra.Limits{Ratio: config.Extra.Ratio, Window: config.Extra.Window.D(), Slack: config.Extra.Slack}
-	front.router = door.NewRouter(front.feed, limits, config.DataCentre, random())
+	front.router = door.NewRouter(front.feed, front.pool, limits, config.DataCentre, random())
 	self := member.Member{Name: config.Name, DataCentre: config.DataCentre, Caller: config.CallerAddress,
 		Peer: config.PeerAddress, Incarnation: uint64(time.Now().UnixMilli()), State: member.Joining}
 	var err error
--- a/shallotreel/line/line.go
+++ b/shallotreel/line/line.go
@@ -9,16 +9,18 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 )
 
 const (
-	idleDefault = 2 * time.Second // if the target does not tell its timeout
-	idleSafety  = 0.7             // of the target's timeout, after which a connection is not used again
-	answerMost  = 8 << 20         // bytes of one answer
-	writeInline = 8 << 10         // bytes that fit the socket's buffer, so that a write cannot wait
+	idleDefault = 2 * time.Second         // if the target does not tell its timeout
+	idleMost    = 1500 * time.Millisecond // connections that are needed no more hold places that others may need
+	idleSafety  = 0.7                     // of the target's timeout, after which a connection is not used again
+	answerMost  = 8 << 20                 // bytes of one answer
+	writeInline = 8 << 10                 // bytes that fit the socket's buffer, so that a write cannot wait
 )
 
 // line is one connection to a target; its fields are guarded by the pool's lock.
@@ -29,6 +31,7 @@
 	reader  *bufio.Reader
 	call    *Call // the one in flight
 	closed  bool
+	proved  bool        // has brought an answer
 	written atomic.Bool // the whole request was sent
 	expires time.Time   // of an idle connection
 	idleAt  time.Time
@@ -63,6 +66,9 @@
 			return // closed by the target, or bytes that nobody asked for
 		}
 		if err != nil {
+			if !line.proved && errors.Is(err, syscall.ECONNRESET) {
+				line.pool.crowded(line.key)
+			}
 			call.finish(Result{Sent: true, Err: errors.Wrap(err, "await answer")})
 			return
 		}
@@ -115,8 +121,8 @@
 			continue
 		}
 		if count, err := strconv.Atoi(seconds); err == nil {
-			return time.Duration(idleSafety * float64(count) * float64(time.Second))
+			return min(idleMost, time.Duration(idleSafety*float64(count)*float64(time.Second)))
 		}
 	}
-	return idleDefault
+	return min(idleMost, idleDefault)
 }
--- a/shallotreel/line/pool.go
+++ b/shallotreel/line/pool.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,6 +18,9 @@
 	dialMost    = time.Second
 	freshTerm   = time.Second // idle time up to which a connection is surely known to the target
 	readerBytes = 2 << 10
+	// A target that resets new connections is at its limit; it is asked for another one only now and then.
+	crowdedLeast = 30 * time.Millisecond
+	crowdedMost  = 240 * time.Millisecond
 )
 
 // Call is one attempt at a target.
@@ -41,6 +46,9 @@
 	Err      error
 }
 
+// ErrCrowded ends a call to a target that takes no more connections.
+var ErrCrowded = errors.New("the target takes no more connections")
+
 // ErrGivenUp ends a call that its caller gave up.
 var ErrGivenUp = errors.New("given up")
 
@@ -52,14 +60,50 @@
 type Pool struct {
 	mutex  sync.Mutex
 	lines  map[netip.AddrPort][]*line // idle ones, the newest last
+	crowds map[netip.AddrPort]*crowd  // targets that took no new connection lately
 	open   int
 	dials  uint64
 	dialer net.Dialer
 }
 
+// crowd tells when a target at its limit of connections may be asked for another one.
+type crowd struct {
+	backoff time.Duration
+	dialAt  time.Time
+}
+
 // NewPool returns a pool without connections.
 func NewPool() *Pool {
-	return &Pool{lines: map[netip.AddrPort][]*line{}, dialer: net.Dialer{Timeout: dialMost}}
+	return &Pool{lines: map[netip.AddrPort][]*line{}, crowds: map[netip.AddrPort]*crowd{},
+		dialer: net.Dialer{Timeout: dialMost}}
+}
+
+// Room reports whether a call to the target can start now: on an idle connection, or on a new one
+// that the target is likely to take.
+func (pool *Pool) Room(now time.Time, address netip.AddrPort) bool {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	crowd, ok := pool.crowds[address]
+	if !ok || !now.Before(crowd.dialAt) {
+		return true
+	}
+	idle := pool.lines[address]
+	return len(idle) > 0 && !now.After(idle[len(idle)-1].expires)
+}
+
+// crowded notes that the target reset a new connection.
+func (pool *Pool) crowded(address netip.AddrPort) {
+	now := time.Now()
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	known, ok := pool.crowds[address]
+	if !ok {
+		known = &crowd{backoff: crowdedLeast}
+		pool.crowds[address] = known
+	} else if !now.Before(known.dialAt) {
+		known.backoff = min(2*known.backoff, crowdedMost)
+	}
+	known.dialAt = now.Add(known.backoff/2 + rand.N(known.backoff))
 }
 
 // Start sends the call on an idle connection or a new one; it does not wait.
@@ -108,6 +152,11 @@
 
 func (pool *Pool) dial(ctx context.Context, call *Call) {
 	conn, err := pool.dialer.DialContext(ctx, "tcp", call.Address.String())
+	if errors.Is(err, syscall.ECONNRESET) {
+		pool.crowded(call.Address)
+		call.finish(Result{Err: ErrCrowded})
+		return
+	}
 	if err != nil {
 		call.finish(Result{Err: errors.Wrap(err, "connect")})
 		return
@@ -146,6 +195,10 @@
 	}
 	line.call.line = nil
 	line.call = nil
+	if !line.proved {
+		line.proved = true
+		delete(pool.crowds, line.key) // it takes connections again
+	}
 	line.idleAt, line.expires = now, now.Add(idle)
 	pool.lines[line.key] = append(pool.lines[line.key], line)
 	return true
