Learn a target's share of failures apart from its pace; hedge as late as is safe

Cause: a target that lost or refused 40 % of its work looked well after each answer, since fast samples weigh more; silence was judged by a quantile that holds the pauses themselves, so it was noticed after 370 ms. Change: failures have their own average; suspicion by twice the ninth tenth; hedges wait as long as the second target can still be in time.

--- a/reel/choice/board.go
+++ b/reel/choice/board.go
@@ -11,12 +11,14 @@
 
 const (
 	outlier       = 4.0 // latencies count as at most so many times the usual one
-	failurePace   = 4.0 // a failure counts as an answer that took so many times the usual
 	slowPace      = 2.0 // a target above it gets only probes while a better one serves
 	slowerWeight  = 0.15
 	fasterWeight  = 0.4
-	probePeriod   = 500 * time.Millisecond // between first attempts at a target that is known to be slow
-	suspectFactor = 1.5                    // times the usual tail, after which silence is suspect
+	failureWeight = 0.12                   // of one outcome in a target's share of failures
+	failuresMost  = 0.15                   // share of failures above which a target is treated as slow
+	probePeriod   = time.Second            // between first attempts at a target that is known to be slow
+	suspectShare  = 0.9                    // of usual answers that arrive within the time
+	suspectFactor = 2.0                    // times that time, after which silence is suspect
 	failedTerm    = 300 * time.Millisecond // in which a target that refused or broke off is passed over
 	loadTerm      = 300 * time.Millisecond // after which a target's report of its load counts nothing
 	distantCost   = 1.0                    // usual answers of waiting that make another data centre worthwhile
@@ -64,7 +66,8 @@
 	open     []Ticket
 	probedAt time.Time
 	failedAt time.Time
-	misses   int // failures since the last answer
+	misses   int     // failures since the last answer
+	failures float64 // share of failures
 	load     Load
 	loadAt   time.Time
 	usedAt   time.Time
@@ -170,7 +173,7 @@
 		return failing
 	case board.silent(now, route, record):
 		return suspect
-	case record.factor <= slowPace:
+	case record.serves():
 		return good
 	case len(record.open) == 0 && now.Sub(record.probedAt) >= probePeriod && target.DataCentre == board.fleet.Home:
 		return probe
@@ -192,7 +195,7 @@
 // silent reports whether an open attempt has waited for longer than answers usually take.
 func (board *Board) silent(now time.Time, route *catalogue.Route, record *record) bool {
 	for _, ticket := range record.open {
-		usual := board.pace(ticket.Route).quantile(0.99, route.Goal)
+		usual := board.pace(ticket.Route).quantile(suspectShare, route.Goal/4)
 		if now.Sub(ticket.Sent) > time.Duration(suspectFactor*float64(usual)) {
 			return true
 		}
@@ -245,6 +248,7 @@
 	switch verdict {
 	case Answered:
 		record.misses = 0
+		record.failures -= failureWeight * record.failures
 		usual := pace.quantile(0.5, waited)
 		record.learn(float64(waited) / float64(max(usual, paceBase)))
 		if record.factor <= slowPace {
@@ -255,11 +259,16 @@
 	case Refused, Failed:
 		record.misses++
 		record.failedAt = now
-		record.learn(failurePace)
+		record.failures += failureWeight * (1 - record.failures)
 	case Crowded, Abandoned:
 	}
 }
 
+// serves reports whether the target answers about as fast and as often as others.
+func (record *record) serves() bool {
+	return record.factor <= slowPace && record.failures <= failuresMost
+}
+
 func (record *record) learn(sample float64) {
 	sample = min(sample, outlier)
 	weight := slowerWeight
--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -8,13 +8,15 @@
 )
 
 const (
-	hedgeShare = 0.94                  // of usual answers that arrive before another target is asked
-	hedgeLeast = 5 * time.Millisecond  // hedges sooner than this race usual answers
-	roomDelay  = 10 * time.Millisecond // between two looks for a free connection
-	roomShare  = 4                     // the part of the goal for which a request waits for its first connection
-	backMost   = 8                     // refusals that one part takes
-	returnSoon = 150 * time.Millisecond
-	answerSlip = 5 * time.Millisecond // between the last moment to answer and the deadline
+	hedgeShare     = 0.94                  // of usual answers that arrive before another target is asked
+	hedgeRoomShare = 0.9                   // of usual answers that a hedge's time suffices for
+	hedgeRoom      = 1.5                   // times that time is left to a hedge
+	hedgeLeast     = 5 * time.Millisecond  // hedges sooner than this race usual answers
+	roomDelay      = 10 * time.Millisecond // between two looks for a free connection
+	roomShare      = 4                     // the part of the goal for which a request waits for its first connection
+	backMost       = 8                     // refusals that one part takes
+	returnSoon     = 150 * time.Millisecond
+	answerSlip     = 5 * time.Millisecond // between the last moment to answer and the deadline
 )
 
 // Machine runs one request.
@@ -221,14 +223,16 @@
 	return nil
 }
 
-// hedgeDelay is how long an answer may take before another target is asked.
+// hedgeDelay is how long an answer may take before another target is asked: longer than most answers take, and
+// as late as the second target can still be in time.
 func (machine *Machine) hedgeDelay(now time.Time) time.Duration {
-	usual := machine.router.Usual(machine.plan.Route, hedgeShare)
+	delay := machine.router.Usual(machine.plan.Route, hedgeShare)
 	left := machine.plan.Goal.Sub(now)
 	if left > 0 {
-		usual = min(usual, left/2)
+		late := left - time.Duration(hedgeRoom*float64(machine.router.Usual(machine.plan.Route, hedgeRoomShare)))
+		delay = min(max(delay, late), max(left/2, late))
 	}
-	return max(usual, hedgeLeast)
+	return max(delay, hedgeLeast)
 }
 
 func (machine *Machine) attemptsMost() int {
