Count the goal from what callers say they have left

Deadline-Ms shows what is spent. Change: reel/patience learns each route's whole patience and the round trip; the goal is counted from both. An attempt that was given up shows slowness when it had waited for long.

--- a/reel/choice/board.go
+++ b/reel/choice/board.go
@@ -42,7 +42,7 @@
 	Misdirected         // another process has its address
 	Crowded             // it takes no more connections
 	Failed              // it broke off, answered wrongly, or could not be reached
-	Abandoned           // this instance stopped waiting; shows nothing
+	Abandoned           // this instance stopped waiting
 )
 
 // Fleet is how many instances share the connections of targets.
@@ -260,7 +260,12 @@
 		record.misses++
 		record.failedAt = now
 		record.failures += failureWeight * (1 - record.failures)
-	case Crowded, Abandoned:
+	case Abandoned:
+		// The answer would have taken longer still.
+		if usual := pace.quantile(0.5, waited); float64(waited) > record.factor*float64(max(usual, paceBase)) {
+			record.learn(float64(waited) / float64(max(usual, paceBase)))
+		}
+	case Crowded:
 	}
 }
 
--- a/reel/choice/board_test.go
+++ b/reel/choice/board_test.go
@@ -89,6 +89,35 @@
 			t.Error("it was asked while it was silent")
 		}
 	})
+	t.Run("a target whose answers are not awaited to the end is slow", func(t *testing.T) {
+		board, all := newBoard(), targets()
+		now := serve(board, 0, all[0], 60, 20)
+		for i := range 5 {
+			board.Sent(at(now), all[0].ID, Ticket{Serial: uint64(i), Route: route.Name, Sent: at(now)})
+			board.Ended(at(now+160), all[0], uint64(i), Abandoned, nil)
+		}
+		board.Choose(at(now+161), route, all, service, nil, anyRoom) // the look
+		if pick, _ := board.Choose(at(now+162), route, all, service, nil, anyRoom); pick.Target.ID == "in-a" {
+			t.Error("it was asked")
+		}
+	})
+	t.Run("a target that loses four answers in ten is passed over", func(t *testing.T) {
+		board, all := newBoard(), targets()
+		now := serve(board, 0, all[0], 60, 20)
+		for i := range 30 {
+			verdict := Answered
+			if i%5 < 2 {
+				verdict = Failed
+			}
+			board.Sent(at(now), all[0].ID, Ticket{Serial: uint64(i), Route: route.Name, Sent: at(now)})
+			board.Ended(at(now+20), all[0], uint64(i), verdict, nil)
+			now += 21
+		}
+		board.Choose(at(now), route, all, service, nil, anyRoom) // the look
+		if pick, _ := board.Choose(at(now+1), route, all, service, nil, anyRoom); pick.Target.ID == "in-a" {
+			t.Error("it was asked")
+		}
+	})
 	t.Run("a slow target gets a look now and then, and work again when it is well", func(t *testing.T) {
 		board, all := newBoard(), targets()
 		now := serve(board, 0, all[0], 60, 20)
--- a/shallotreel/door/door.go
+++ b/shallotreel/door/door.go
@@ -16,7 +16,6 @@
 
 const (
 	unpreparedReturn = 200 * time.Millisecond // until a starting instance is worth asking again
-	goalMargin       = 14 * time.Millisecond  // of the goal, for the way to the caller
 	bodyDefault      = 1 << 20                // bytes, while the configuration names no limit
 )
 
@@ -45,7 +44,8 @@
 	Parts    int
 	Gaps     []query.Gap
 	Attempts []Attempt
-	Serial   uint64 // of the view of targets that the request began with
+	Serial   uint64        // of the view of targets that the request began with
+	Patience time.Duration // what the caller said it waits
 }
 
 // Attempt is one decision to send a request to a target, and its end.
@@ -81,7 +81,7 @@
 	}
 	call := platform.ReadCall(request)
 	view := door.catalogue.View()
-	record := Record{ID: call.ID, Serial: view.Serial}
+	record := Record{ID: call.ID, Serial: view.Serial, Patience: call.Patience}
 	if view.Configuration == nil {
 		door.refuse(writer, begun, record, query.Finish{Code: result.NotReady, RetryAfter: unpreparedReturn})
 		return
@@ -98,7 +98,7 @@
 		door.refuse(writer, begun, record, query.Finish{Code: code})
 		return
 	}
-	run := &run{door: door, begun: begun, record: record, plan: plan(begun, call, route),
+	run := &run{door: door, begun: begun, record: record, plan: door.plan(begun, call, route),
 		forward: platform.NewForward(request, call, body), calls: map[uint64]*line.Call{}}
 	run.plan.Services = door.router.Services(route)
 	run.record.Parts = len(run.plan.Services)
@@ -109,14 +109,13 @@
 }
 
 // plan sets the times of a request: what the caller still waits, within what the operator allows.
-func plan(begun time.Time, call platform.Call, route *catalogue.Route) query.Plan {
+func (door *Door) plan(begun time.Time, call platform.Call, route *catalogue.Route) query.Plan {
 	wait := route.Timeout
 	if wait <= 0 || call.Patience > 0 && call.Patience < wait {
 		wait = call.Patience
 	}
-	deadline := begun.Add(wait)
-	goal := begun.Add(max(route.Goal-goalMargin, route.Goal/2))
-	return query.Plan{Route: route, Begun: begun, Goal: goal, Deadline: deadline}
+	return query.Plan{Route: route, Begun: begun, Goal: door.router.goal(begun, route, call.Patience),
+		Deadline: begun.Add(wait)}
 }
 
 func readBody(writer http.ResponseWriter, request *http.Request, limits catalogue.Limits) ([]byte, result.Code) {
--- a/shallotreel/door/router.go
+++ b/shallotreel/door/router.go
@@ -11,6 +11,7 @@
 	"shallotreel.example/reel/choice"
 	"shallotreel.example/reel/extra"
 	"shallotreel.example/reel/member"
+	"shallotreel.example/reel/patience"
 	"shallotreel.example/shallotreel/line"
 )
 
@@ -26,6 +27,7 @@
 	board     *choice.Board
 	budgets   map[string]*extra.Budget
 	turns     map[string]*turns
+	patience  *patience.Learner
 	serial    uint64
 	most      int // instances known at any time, among which the slack is divided
 }
@@ -33,7 +35,7 @@
 // NewRouter returns a router that has seen no traffic.
 func NewRouter(catalogue Catalogue, pool *line.Pool, limits extra.Limits, home string, random *rand.Rand) *Router {
 	router := &Router{catalogue: catalogue, pool: pool, limits: limits, board: choice.New(random),
-		budgets: map[string]*extra.Budget{}, turns: map[string]*turns{}, most: 1}
+		budgets: map[string]*extra.Budget{}, turns: map[string]*turns{}, patience: patience.New(), most: 1}
 	router.board.SetFleet(choice.Fleet{Home: home, Instances: map[string]int{home: 1}, Total: 1})
 	return router
 }
@@ -91,6 +93,13 @@
 	return router.serial
 }
 
+// goal returns the last moment at which an answer is worth most to a caller that still waits so long.
+func (router *Router) goal(now time.Time, route *catalogue.Route, left time.Duration) time.Time {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	return router.patience.Goal(now, route.Goal, router.patience.Spent(route.Name, left))
+}
+
 // sent notes an attempt that goes out.
 func (router *Router) sent(now time.Time, target string, ticket choice.Ticket) {
 	router.mutex.Lock()
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -136,7 +136,7 @@
 		return nil, err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: headerMost, ErrorLog: log.New(io.Discard, "", 0)}
+		MaxHeaderBytes: headerMost, ErrorLog: log.New(front.log.WriterLevel(logrus.WarnLevel), "", 0)}
 	front.servers = append(front.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/shallotreel/front/recorder.go
+++ b/shallotreel/front/recorder.go
@@ -43,7 +43,7 @@
 	}
 	fields := logrus.Fields{"request": record.ID, "route": record.Route, "version": record.Version,
 		"targets_serial": record.Serial, "code": record.Code.String(), "took_ms": record.Took.Milliseconds(),
-		"parts": record.Parts}
+		"parts": record.Parts, "patience_ms": record.Patience.Milliseconds()}
 	if record.Reason != "" {
 		fields["reason"] = record.Reason
 	}
