Bound what is in flight at a target by the queue it reports; share connections by who needs them

Change: each target has a window that narrows when its reports show a queue; instances whose data centre has no target count as near everywhere; a part whose targets all refused waits a moment; gaps say why no other target was asked.

--- a/reel/choice/board.go
+++ b/reel/choice/board.go
@@ -20,9 +20,14 @@
 	suspectShare  = 0.9                    // of usual answers that arrive within the time
 	suspectFactor = 2.0                    // times that time, after which silence is suspect
 	failedTerm    = 300 * time.Millisecond // in which a target that refused or broke off is passed over
+	queueMost     = 0.4                    // of its slots, waiting at a target, above which fewer are sent there
+	windowMost    = 32                     // attempts in flight, from where the window bounds nothing
+	windowDrop    = 0.75                   // of the attempts in flight that stay when a queue is seen
+	windowDropGap = 100 * time.Millisecond // between two drops, so that the first one can show
 	loadTerm      = 300 * time.Millisecond // after which a target's report of its load counts nothing
 	distantCost   = 1.0                    // usual answers of waiting that make another data centre worthwhile
-	ownShare      = 0.7                    // of a target's connections for the instances of its own data centre
+	nearShare     = 0.7                    // of a target's connections for the instances of its own data centre
+	farShare      = 0.3                    // for the others, which seldom need theirs all at a time
 	misdirectTerm = 10 * time.Second       // in which a target whose address another process has is not asked
 	forgetAfter   = time.Minute
 )
@@ -70,6 +75,8 @@
 	failures float64 // share of failures
 	load     Load
 	loadAt   time.Time
+	window   float64 // attempts in flight, 0 while only the share of connections bounds them
+	dropAt   time.Time
 	usedAt   time.Time
 	wrongAt  time.Time        // when another process answered at its address
 	wrong    catalogue.Target // as it was registered then
@@ -113,7 +120,7 @@
 		if slices.Contains(tried, target.ID) || !room(target) {
 			continue
 		}
-		if score := board.score(now, route, target, service); score.less(bestScore) {
+		if score := board.score(now, route, target, service, candidates); score.less(bestScore) {
 			best, bestScore = target, score
 		}
 	}
@@ -152,7 +159,7 @@
 	return cmp.Or(cmp.Compare(score.grade, other.grade), cmp.Compare(score.cost, other.cost)) < 0
 }
 
-func (board *Board) score(now time.Time, route *catalogue.Route, target catalogue.Target, service catalogue.Service) score {
+func (board *Board) score(now time.Time, route *catalogue.Route, target catalogue.Target, service catalogue.Service, candidates []catalogue.Target) score {
 	record := board.record(target.ID)
 	local := target.DataCentre == board.fleet.Home
 	cost := record.factor * (1 + board.pressure(now, record, target))
@@ -160,14 +167,14 @@
 		cost += distantCost
 	}
 	cost += board.random.Float64() * 0.2 // spreads equal targets
-	return score{board.grade(now, route, target, service, record), cost}
+	return score{board.grade(now, route, target, record, board.Share(target, service, candidates)), cost}
 }
 
-func (board *Board) grade(now time.Time, route *catalogue.Route, target catalogue.Target, service catalogue.Service, record *record) grade {
+func (board *Board) grade(now time.Time, route *catalogue.Route, target catalogue.Target, record *record, share int) grade {
 	switch {
 	case now.Sub(record.wrongAt) < misdirectTerm && record.wrong.Address == target.Address && record.wrong.Born == target.Born:
 		return unusable
-	case len(record.open) >= board.Share(target, service):
+	case len(record.open) >= share || record.window > 0 && float64(len(record.open)) >= record.window:
 		return full
 	case record.misses > 0 && now.Sub(record.failedAt) < failedTerm*time.Duration(min(record.misses, 4)):
 		return failing
@@ -203,24 +210,34 @@
 	return false
 }
 
-// Share returns how many connections this instance may have to the target.
-func (board *Board) Share(target catalogue.Target, service catalogue.Service) int {
-	most := float64(service.MaxConnections)
-	if most <= 0 {
-		most = 1
+// Share returns how many connections this instance may have to the target, one of those that serve the service.
+// Instances without a target in their own data centre count as near to all.
+func (board *Board) Share(target catalogue.Target, service catalogue.Service, candidates []catalogue.Target) int {
+	near := 0
+	for centre, instances := range board.fleet.Instances {
+		if centre == target.DataCentre || !serves(candidates, centre) {
+			near += instances
+		}
 	}
-	near := board.fleet.Instances[target.DataCentre]
 	far := board.fleet.Total - near
-	if target.DataCentre == board.fleet.Home {
-		if far == 0 {
-			return max(1, int(most)/max(near, 1))
-		}
-		return max(1, int(most*ownShare)/max(near, 1))
+	home := target.DataCentre == board.fleet.Home || !serves(candidates, board.fleet.Home)
+	most := float64(service.MaxConnections)
+	switch {
+	case home && far == 0, !home && near == 0:
+	case home:
+		most *= nearShare
+	default:
+		most *= farShare
 	}
-	if near == 0 {
-		return max(1, int(most)/max(far, 1))
+	if home {
+		return max(1, int(most)/max(near, 1))
 	}
-	return max(1, int(most*(1-ownShare))/max(far, 1))
+	return max(1, int(most)/max(far, 1))
+}
+
+// serves reports whether any of the targets is in the data centre.
+func serves(targets []catalogue.Target, centre string) bool {
+	return slices.ContainsFunc(targets, func(target catalogue.Target) bool { return target.DataCentre == centre })
 }
 
 // Sent notes an attempt that was sent to the target.
@@ -242,6 +259,7 @@
 	record.usedAt = now
 	if load != nil {
 		record.load, record.loadAt = *load, now
+		record.adapt(now, *load)
 	}
 	pace := board.pace(ticket.Route)
 	waited := now.Sub(ticket.Sent)
@@ -269,6 +287,25 @@
 	}
 }
 
+// adapt narrows the window while others' or own attempts queue at the target, and widens it when none does.
+func (record *record) adapt(now time.Time, load Load) {
+	queue := float64(load.Waiting) / float64(max(load.Slots, 1))
+	switch {
+	case queue > queueMost && now.Sub(record.dropAt) >= windowDropGap:
+		inFlight := float64(len(record.open) + 1)
+		if record.window > 0 {
+			inFlight = min(inFlight, record.window)
+		}
+		record.window = max(1, inFlight*windowDrop)
+		record.dropAt = now
+	case load.Waiting == 0 && record.window > 0:
+		record.window += 1 / record.window
+		if record.window > windowMost {
+			record.window = 0
+		}
+	}
+}
+
 // serves reports whether the target answers about as fast and as often as others.
 func (record *record) serves() bool {
 	return record.factor <= slowPace && record.failures <= failuresMost
--- a/reel/query/end.go
+++ b/reel/query/end.go
@@ -127,7 +127,7 @@
 	var gaps []Gap
 	for _, part := range machine.parts {
 		if part.answer == nil {
-			gaps = append(gaps, Gap{part.service, part.tried, now.Sub(part.lastSent), part.dead})
+			gaps = append(gaps, Gap{part.service, part.tried, now.Sub(part.lastSent), part.dead, part.held})
 		}
 	}
 	return gaps
@@ -139,4 +139,5 @@
 	Tried   []string      `json:"tried"`
 	Waited  time.Duration `json:"waited"`
 	GaveUp  bool          `json:"gave_up"`
+	Held    string        `json:"held,omitempty"` // why no other target was asked
 }
--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -44,6 +44,7 @@
 	hedgeAt  time.Time
 	retryAt  time.Time
 	lastSent time.Time
+	held     string // why no other target was asked
 }
 
 type attempt struct {
@@ -148,6 +149,7 @@
 		return nil
 	}
 	if part.arrived && !machine.router.Spend(now, part.service, extra.Retry) {
+		part.held = "the bound on extra arrivals is reached"
 		part.dead = true
 		return nil
 	}
@@ -173,9 +175,11 @@
 		return nil
 	}
 	if _, ok := machine.router.Choose(now, machine.plan.Route, part.service, part.tried); !ok {
+		part.held = "no other target has room"
 		return nil
 	}
 	if !machine.router.Spend(now, part.service, extra.Hedge) {
+		part.held = "the bound on extra arrivals is reached"
 		return nil
 	}
 	return machine.try(now, part, "hedge")
@@ -185,11 +189,8 @@
 func (machine *Machine) try(now time.Time, part *part, why string) []Action {
 	part.retryAt = time.Time{}
 	pick, ok := machine.router.Choose(now, machine.plan.Route, part.service, part.tried)
-	if !ok && len(part.tried) > 0 && part.live == 0 && machine.plan.Route.Idempotent {
-		part.tried = nil
-		pick, ok = machine.router.Choose(now, machine.plan.Route, part.service, nil)
-	}
 	if !ok {
+		part.tried = nil // all have been tried, or have no room: any of them may serve in a moment
 		return machine.lookAgain(now, part)
 	}
 	part.tried = append(part.tried, pick.Target.ID)
