Prove new connections to crowded targets before use; ready as soon as a configuration is known

Cause: at a target at its limit a new connection opens and is reset 2 to 5 ms later; requests sent by then counted as arrivals and may have run. Change: a connection to a target that reset one lately must stay for 5 ms before a request is sent on it.

--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -34,6 +34,7 @@
 	view      atomic.Pointer[catalogue.View]
 	calls     atomic.Int64
 	failing   bool
+	prepared  func() // called when the first configuration is in force
 	refused   uint64 // revision of the newest configuration that could not be read
 }
 
@@ -48,9 +49,9 @@
 	news struct{ reading platform.Reading }
 )
 
-// New returns a feed that does nothing until Start.
-func New(ctx context.Context, system *actor.ActorSystem, store *platform.Store, log logrus.FieldLogger) *Feed {
-	feed := &Feed{ctx: ctx, root: system.Root, store: store, log: log, catalogue: catalogue.New()}
+// New returns a feed that does nothing until Start; it calls prepared once requests can be routed.
+func New(ctx context.Context, system *actor.ActorSystem, store *platform.Store, log logrus.FieldLogger, prepared func()) *Feed {
+	feed := &Feed{ctx: ctx, root: system.Root, store: store, log: log, prepared: prepared, catalogue: catalogue.New()}
 	feed.view.Store(feed.catalogue.View())
 	return feed
 }
@@ -109,7 +110,10 @@
 		feed.answered(now)
 		feed.apply(now, message.reading.Items)
 	}
-	feed.view.Store(feed.catalogue.View())
+	old := feed.view.Swap(feed.catalogue.View())
+	if old.Configuration == nil && feed.View().Configuration != nil {
+		feed.prepared()
+	}
 }
 
 func (feed *Feed) answered(now time.Time) {
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -99,7 +99,8 @@
 		return rand.New(rand.NewPCG(binary.BigEndian.Uint64(seed[:]), binary.BigEndian.Uint64(seed[8:])))
 	}
 	config := front.settings
-	front.feed = feed.New(front.ctx, front.system, platform.NewStore(config.StoreAddress, storeDial), front.log)
+	front.feed = feed.New(front.ctx, front.system, platform.NewStore(config.StoreAddress, storeDial), front.log,
+		front.prepare)
 	limits := extra.Limits{Ratio: config.Extra.Ratio, Window: config.Extra.Window.D(), Slack: config.Extra.Slack}
 	front.router = door.NewRouter(front.feed, front.pool, limits, config.DataCentre, random())
 	self := member.Member{Name: config.Name, DataCentre: config.DataCentre, Caller: config.CallerAddress,
@@ -147,30 +148,22 @@
 }
 
 func (front *Front) clock() {
-	ticker := time.NewTicker(sweepPeriod / 10)
+	ticker := time.NewTicker(sweepPeriod)
 	defer ticker.Stop()
-	swept := time.Now()
 	for {
 		select {
 		case <-front.ctx.Done():
 			return
 		case now := <-ticker.C:
-			front.prepare()
-			if now.Sub(swept) >= sweepPeriod {
-				swept = now
-				front.pool.Sweep(now)
-				front.router.Sweep(now)
-				front.measure()
-			}
+			front.pool.Sweep(now)
+			front.router.Sweep(now)
+			front.measure()
 		}
 	}
 }
 
-// prepare tells the others that this instance takes work once it has a configuration.
+// prepare tells the others that this instance takes work, now that it has a configuration.
 func (front *Front) prepare() {
-	if front.ready.Load() || front.stopping.Load() || front.feed.View().Configuration == nil {
-		return
-	}
 	front.ready.Store(true)
 	front.roster.Ready()
 	front.log.WithField("version", front.feed.View().Configuration.Version).Info("ready")
--- a/shallotreel/line/line.go
+++ b/shallotreel/line/line.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 const (
 	idleDefault = 2 * time.Second         // if the target does not tell its timeout
 	idleMost    = 1500 * time.Millisecond // connections that are needed no more hold places that others may need
+	stayTime    = 5 * time.Millisecond    // in which a target at its limit resets a new connection
 	idleSafety  = 0.7                     // of the target's timeout, after which a connection is not used again
 	answerMost  = 8 << 20                 // bytes of one answer
 	writeInline = 8 << 10                 // bytes that fit the socket's buffer, so that a write cannot wait
@@ -37,6 +39,18 @@
 	idleAt  time.Time
 }
 
+// stays reports whether the target keeps a new connection for a moment; one at its limit resets it, and what was
+// sent by then could not be told from a request that ran.
+func (line *line) stays() bool {
+	if err := line.conn.SetReadDeadline(time.Now().Add(stayTime)); err != nil {
+		return false
+	}
+	if _, err := line.reader.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	return line.conn.SetReadDeadline(time.Time{}) == nil
+}
+
 // write sends the request; one that may not fit the socket's buffer is sent in the background.
 func (line *line) write(call *Call) {
 	line.written.Store(false)
--- a/shallotreel/line/pool.go
+++ b/shallotreel/line/pool.go
@@ -106,6 +106,14 @@
 	known.dialAt = now.Add(known.backoff/2 + rand.N(known.backoff))
 }
 
+// doubted reports whether the target reset a connection lately.
+func (pool *Pool) doubted(address netip.AddrPort) bool {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	_, ok := pool.crowds[address]
+	return ok
+}
+
 // Start sends the call on an idle connection or a new one; it does not wait.
 func (pool *Pool) Start(call *Call) {
 	if line := pool.take(call); line != nil {
@@ -162,6 +170,12 @@
 		return
 	}
 	line := &line{pool: pool, key: call.Address, conn: conn, reader: bufio.NewReaderSize(conn, readerBytes)}
+	if pool.doubted(call.Address) && !line.stays() {
+		conn.Close()
+		pool.crowded(call.Address)
+		call.finish(Result{Err: ErrCrowded})
+		return
+	}
 	pool.mutex.Lock()
 	given := call.given
 	if !given {
