--- a/reel/choice/board.go
+++ b/reel/choice/board.go
@@ -25,7 +25,7 @@
 	windowDrop    = 0.75                   // of the attempts in flight that stay when a queue is seen
 	windowDropGap = 100 * time.Millisecond // between two drops, so that the first one can show
 	loadTerm      = 300 * time.Millisecond // after which a target's report of its load counts nothing
-	distantCost   = 1.0                    // usual answers of waiting that make another data centre worthwhile
+	distantCost   = 3.0                    // usual answers of waiting that make another data centre worthwhile
 	nearShare     = 0.7                    // of a target's connections for the instances of its own data centre
 	farShare      = 0.3                    // for the others, which seldom need theirs all at a time
 	misdirectTerm = 10 * time.Second       // in which a target whose address another process has is not asked
