Read the store in one instance of each data centre; the others ask it

Change: the first serving instance of a data centre by name watches the store; the others hold a query at it (net/rpc on the peers' port) and read the store themselves when it is silent for .8 s or its knowledge is older than 1.8 s. reel/catalogue tells what changed since a serial.

--- a/reel/catalogue/catalogue.go
+++ b/reel/catalogue/catalogue.go
@@ -48,6 +48,7 @@
 // Catalogue follows the registrations of targets and the versions of the configuration.
 type Catalogue struct {
 	configuration *Configuration
+	configured    uint64 // serial at which it took force
 	entries       map[string]*entry
 	failing       bool      // whether the newest call to the store failed
 	returnedAt    time.Time // of the store after it failed
@@ -60,6 +61,12 @@
 	removedAt time.Time // zero while registered
 	goneAt    time.Time // from when a removed target takes no more work
 	listed    bool      // named by the full reading in progress
+	serial    uint64    // of the catalogue at the newest change
+}
+
+// registered reports whether the target is registered, or may be living although its registration lapsed.
+func (entry *entry) registered() bool {
+	return entry.removedAt.IsZero() || entry.goneAt.After(entry.removedAt)
 }
 
 // New returns an empty catalogue.
@@ -73,7 +80,8 @@
 		return false
 	}
 	catalogue.configuration = configuration
-	catalogue.changed()
+	catalogue.changed(nil)
+	catalogue.configured = catalogue.serial
 	return true
 }
 
@@ -81,8 +89,9 @@
 func (catalogue *Catalogue) Register(now time.Time, target Target) (Change, bool) {
 	known, ok := catalogue.entries[target.ID]
 	if !ok {
-		catalogue.entries[target.ID] = &entry{Target: target, listed: true}
-		catalogue.changed()
+		known = &entry{Target: target, listed: true}
+		catalogue.entries[target.ID] = known
+		catalogue.changed(known)
 		return Change{target.ID, "registered"}, true
 	}
 	known.listed = true
@@ -103,7 +112,7 @@
 	if !altered {
 		return Change{}, false
 	}
-	catalogue.changed()
+	catalogue.changed(known)
 	switch {
 	case target.Leaving:
 		return Change{target.ID, "leaving"}, true
@@ -127,7 +136,7 @@
 		known.goneAt = catalogue.returnedAt.Add(lapseTerm)
 		what = "lapsed while the store was unsettled"
 	}
-	catalogue.changed()
+	catalogue.changed(known)
 	return Change{id, what}, true
 }
 
@@ -180,24 +189,13 @@
 			delete(catalogue.entries, id)
 		case entry.goneAt.After(entry.removedAt) && !now.Before(entry.goneAt):
 			entry.goneAt = entry.removedAt
-			catalogue.changed()
+			catalogue.changed(entry)
 			changes = append(changes, Change{id, "gone after its lapse"})
 		}
 	}
 	return changes
 }
 
-// Entries returns all registered targets, the leaving ones included, ordered by id.
-func (catalogue *Catalogue) Entries() []Target {
-	var targets []Target
-	for _, id := range catalogue.ids() {
-		if entry := catalogue.entries[id]; entry.removedAt.IsZero() {
-			targets = append(targets, entry.Target)
-		}
-	}
-	return targets
-}
-
 // Configuration returns the newest version, nil before the first.
 func (catalogue *Catalogue) Configuration() *Configuration {
 	return catalogue.configuration
@@ -210,8 +208,7 @@
 	}
 	view := &View{Configuration: catalogue.configuration, services: map[string][]Target{}, Serial: catalogue.serial}
 	for _, entry := range catalogue.entries {
-		lapsing := entry.goneAt.After(entry.removedAt)
-		if !entry.Leaving && (entry.removedAt.IsZero() || lapsing) {
+		if !entry.Leaving && entry.registered() {
 			view.services[entry.Service] = append(view.services[entry.Service], entry.Target)
 		}
 	}
@@ -222,9 +219,13 @@
 	return view
 }
 
-func (catalogue *Catalogue) changed() {
+// changed makes a new view due; entry is the target that changed, if one did.
+func (catalogue *Catalogue) changed(entry *entry) {
 	catalogue.serial++
 	catalogue.view = nil
+	if entry != nil {
+		entry.serial = catalogue.serial
+	}
 }
 
 func (catalogue *Catalogue) ids() []string {
--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,15 +12,14 @@
 
 	"shallotreel.example/platform"
 	"shallotreel.example/reel/catalogue"
+	"shallotreel.example/shallotreel/copies"
 )
 
 const (
 	tickPeriod   = 250 * time.Millisecond
-	watchPause   = 700 * time.Millisecond // between two watches, so that one call brings many reports
-	watchWait    = time.Second
-	settlePause  = 200 * time.Millisecond // the same while targets may be registering again
-	settleTerm   = 3 * time.Second        // after a failed call
-	callMost     = time.Second            // beyond what a watch waits by itself
+	watchPause   = 200 * time.Millisecond  // between two watches, so that one call brings several changes
+	watchWait    = 1300 * time.Millisecond // an idle watch that ends shows that the store can still be reached
+	callMost     = time.Second             // beyond what a watch waits by itself
 	backoffLeast = 100 * time.Millisecond
 	backoffMost  = 800 * time.Millisecond
 )
@@ -33,6 +34,12 @@
 	catalogue *catalogue.Catalogue
 	view      atomic.Pointer[catalogue.View]
 	calls     atomic.Int64
+	process   uint64 // this instance's incarnation
+	readers   Readers
+	contact   atomic.Int64 // when the store's state was last known, in nanoseconds of the monotonic clock
+	revision  atomic.Uint64
+	mutex     sync.Mutex
+	change    chan struct{} // closed at the next change; guarded by the mutex
 	failing   bool
 	prepared  func() // called when the first configuration is in force
 	refused   uint64 // revision of the newest configuration that could not be read
@@ -46,12 +53,30 @@
 		reading     platform.Reading
 		first, last bool
 	}
-	news struct{ reading platform.Reading }
+	news  struct{ reading platform.Reading }
+	told  struct{ reply copies.Reply }
+	since struct{ serial uint64 }
 )
 
-// New returns a feed that does nothing until Start; it calls prepared once requests can be routed.
-func New(ctx context.Context, system *actor.ActorSystem, store *platform.Store, log logrus.FieldLogger, prepared func()) *Feed {
-	feed := &Feed{ctx: ctx, root: system.Root, store: store, log: log, prepared: prepared, catalogue: catalogue.New()}
+// Readers says which instances read the store for others.
+type Readers interface {
+	// Reader returns the peer that reads for this instance; false if this instance reads for itself.
+	Reader() (netip.AddrPort, bool)
+}
+
+// Config is what a feed is made of.
+type Config struct {
+	Store    *platform.Store
+	Readers  Readers
+	Process  uint64 // this instance's incarnation
+	Log      logrus.FieldLogger
+	Prepared func() // called once requests can be routed
+}
+
+// New returns a feed that does nothing until Start.
+func New(ctx context.Context, system *actor.ActorSystem, config Config) *Feed {
+	feed := &Feed{ctx: ctx, root: system.Root, store: config.Store, readers: config.Readers, process: config.Process,
+		log: config.Log, prepared: config.Prepared, catalogue: catalogue.New(), change: make(chan struct{})}
 	feed.view.Store(feed.catalogue.View())
 	return feed
 }
@@ -109,8 +134,16 @@
 	case news:
 		feed.answered(now)
 		feed.apply(now, message.reading.Items)
+	case told:
+		feed.applyTold(now, message.reply)
+	case since:
+		actorContext.Respond(feed.catalogue.Since(message.serial))
+		return
 	}
 	old := feed.view.Swap(feed.catalogue.View())
+	if old.Serial != feed.View().Serial {
+		feed.announce()
+	}
 	if old.Configuration == nil && feed.View().Configuration != nil {
 		feed.prepared()
 	}
@@ -162,11 +195,26 @@
 		return
 	}
 	if feed.catalogue.Configure(configuration) {
-		feed.log.WithFields(logrus.Fields{"version": configuration.Version, "revision": item.Revision,
-			"routes": len(configuration.Routes)}).Info("configuration in force")
+		feed.noteConfiguration("store", item.Revision)
 	}
 }
 
+// applyTold takes what a peer read of the store.
+func (feed *Feed) applyTold(now time.Time, reply copies.Reply) {
+	feed.answered(now)
+	old := feed.catalogue.Configuration()
+	feed.note(feed.catalogue.Apply(now, reply.Delta, reply.Whole)...)
+	if feed.catalogue.Configuration() != old {
+		feed.noteConfiguration("peer", reply.Store)
+	}
+}
+
+func (feed *Feed) noteConfiguration(source string, revision uint64) {
+	configuration := feed.catalogue.Configuration()
+	feed.log.WithFields(logrus.Fields{"version": configuration.Version, "revision": revision, "source": source,
+		"routes": len(configuration.Routes)}).Info("configuration in force")
+}
+
 func (feed *Feed) note(changes ...catalogue.Change) {
 	for _, change := range changes {
 		feed.log.WithFields(logrus.Fields{"target": change.Target, "change": change.What}).Info("target changed")
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -3,45 +3,99 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"shallotreel.example/platform"
+	"shallotreel.example/shallotreel/copies"
+)
+
+const (
+	peerHold   = 500 * time.Millisecond  // for which a peer may wait for a change
+	peerMost   = 300 * time.Millisecond  // beyond it
+	peerPause  = 50 * time.Millisecond   // after a change, so that one answer brings several
+	ageMost    = 1800 * time.Millisecond // of a peer's knowledge: changes must be in force within three seconds
+	directTerm = 2 * time.Second         // for which the store is read after a peer failed
+	askTimeout = time.Second
 )
 
-// follow reads everything once and then what changes, until the context ends.
+var errPeerBehind = errors.New("the peer's knowledge is old")
+
+// place is how far this instance has read.
+type place struct {
+	revision uint64 // of the store
+	listed   bool   // whether everything was read once
+	process  uint64 // of the peer that gave the serial
+	serial   uint64
+	direct   time.Time // until when no peer is asked
+	backoff  time.Duration
+}
+
+// follow reads everything once and then what changes, until the context ends: from the peer that reads for this
+// instance, or from the store itself where no peer does or its knowledge is old.
 func (feed *Feed) follow() {
-	backoff := backoffLeast
-	revision, listed := uint64(0), false
-	var failedAt time.Time
+	place := &place{backoff: backoffLeast}
+	client := &copies.Client{}
+	defer client.Close()
 	for feed.ctx.Err() == nil {
-		var err error
-		if !listed {
-			revision, err = feed.list()
-			listed = err == nil
-		} else {
-			revision, err = feed.watch(revision)
-		}
-		switch {
-		case err == nil:
-			backoff = backoffLeast
-			feed.sleep(pauseAfter(failedAt))
-		case errors.Is(err, platform.ErrHistoryLost):
-			listed = false
-		default:
-			failedAt = time.Now()
-			feed.root.Send(feed.pid, failed{err})
-			feed.sleep(backoff)
-			backoff = min(2*backoff, backoffMost)
+		if peer, ok := feed.readers.Reader(); ok && time.Now().After(place.direct) {
+			feed.askPeer(place, client, peer)
+			continue
 		}
+		feed.askStore(place)
 	}
 }
 
-// pauseAfter is the pause between two watches: short while targets may be registering again after a failure.
-func pauseAfter(failedAt time.Time) time.Duration {
-	if !failedAt.IsZero() && time.Since(failedAt) < settleTerm {
-		return settlePause
+// askPeer takes what the peer has read; a peer that is silent or behind is passed over for a while.
+func (feed *Feed) askPeer(place *place, client *copies.Client, peer netip.AddrPort) {
+	query := copies.Query{Process: place.process, Serial: place.serial, Hold: peerHold}
+	reply, err := client.Ask(peer, query, peerMost)
+	switch {
+	case err != nil:
+	case reply.Age > ageMost:
+		err = errPeerBehind
+	case reply.Whole && reply.Store < place.revision:
+		err = errPeerBehind
+	}
+	if err != nil {
+		feed.log.WithError(err).WithFields(logrus.Fields{"peer": peer.String(), "age_ms": reply.Age.Milliseconds()}).
+			Warn("reading the store instead of a peer")
+		place.direct = time.Now().Add(directTerm)
+		return
+	}
+	feed.root.Send(feed.pid, told{reply})
+	changed := reply.Delta.Serial != place.serial
+	place.process, place.serial, place.listed = reply.Process, reply.Delta.Serial, true
+	place.revision = max(place.revision, reply.Store)
+	feed.contacted(place.revision, reply.Age)
+	if changed {
+		feed.sleep(peerPause)
+	}
+}
+
+// askStore reads the next changes from the store and pauses.
+func (feed *Feed) askStore(place *place) {
+	var err error
+	if !place.listed {
+		place.revision, err = feed.list()
+		place.listed = err == nil
+	} else {
+		place.revision, err = feed.watch(place.revision)
+	}
+	switch {
+	case err == nil:
+		place.backoff = backoffLeast
+		feed.contacted(place.revision, 0)
+		feed.sleep(watchPause)
+	case errors.Is(err, platform.ErrHistoryLost):
+		place.listed = false
+	default:
+		feed.root.Send(feed.pid, failed{err})
+		feed.sleep(place.backoff)
+		place.backoff = min(2*place.backoff, backoffMost)
 	}
-	return watchPause
 }
 
 // list reads all keys, page by page, and returns the revision of the first page, from which a watch misses nothing.
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -22,8 +22,10 @@
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 
 	"shallotreel.example/platform"
+	"shallotreel.example/reel/catalogue"
 	"shallotreel.example/reel/extra"
 	"shallotreel.example/reel/member"
+	"shallotreel.example/shallotreel/copies"
 	"shallotreel.example/shallotreel/door"
 	"shallotreel.example/shallotreel/feed"
 	"shallotreel.example/shallotreel/line"
@@ -54,6 +56,7 @@
 	system   *actor.ActorSystem
 	feed     *feed.Feed
 	roster   *roster.Roster
+	copies   *copies.Server
 	router   *door.Router
 	pool     *line.Pool
 	door     *door.Door
@@ -99,10 +102,8 @@
 		return rand.New(rand.NewPCG(binary.BigEndian.Uint64(seed[:]), binary.BigEndian.Uint64(seed[8:])))
 	}
 	config := front.settings
-	front.feed = feed.New(front.ctx, front.system, platform.NewStore(config.StoreAddress, storeDial), front.log,
-		front.prepare)
 	limits := extra.Limits{Ratio: config.Extra.Ratio, Window: config.Extra.Window.D(), Slack: config.Extra.Slack}
-	front.router = door.NewRouter(front.feed, front.pool, limits, config.DataCentre, random())
+	front.router = door.NewRouter(front, front.pool, limits, config.DataCentre, random())
 	self := member.Member{Name: config.Name, DataCentre: config.DataCentre, Caller: config.CallerAddress,
 		Peer: config.PeerAddress, Incarnation: uint64(time.Now().UnixMilli()), State: member.Joining}
 	var err error
@@ -111,6 +112,11 @@
 	if err != nil {
 		return err
 	}
+	front.feed = feed.New(front.ctx, front.system, feed.Config{Store: platform.NewStore(config.StoreAddress, storeDial),
+		Readers: front.roster, Process: self.Incarnation, Log: front.log, Prepared: front.prepare})
+	if front.copies, err = copies.Serve(config.PeerAddress, front.feed); err != nil {
+		return err
+	}
 	front.door = door.New(front.feed, front.router, front.pool, newRecorder(front.log, front.scope))
 	front.callers, err = front.serve(config.CallerAddress, front.door)
 	if err != nil {
@@ -162,6 +168,9 @@
 	}
 }
 
+// View returns what requests are routed by.
+func (front *Front) View() *catalogue.View { return front.feed.View() }
+
 // prepare tells the others that this instance takes work, now that it has a configuration.
 func (front *Front) prepare() {
 	front.ready.Store(true)
@@ -207,6 +216,9 @@
 	for _, server := range front.servers {
 		server.Close()
 	}
+	if front.copies != nil {
+		front.copies.Close()
+	}
 	if front.roster != nil {
 		front.roster.Close()
 	}
--- a/shallotreel/roster/roster.go
+++ b/shallotreel/roster/roster.go
@@ -32,6 +32,8 @@
 	machine *member.Machine
 	conn    *net.UDPConn
 	log     logrus.FieldLogger
+	name    string
+	home    string // data centre
 	seeds   []netip.AddrPort
 	seedAt  time.Time
 	members atomic.Pointer[[]member.Member]
@@ -62,6 +64,7 @@
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	roster := &Roster{ctx: ctx, root: system.Root, conn: conn, log: config.Log, seeds: config.Seeds,
+		name: config.Self.Name, home: config.Self.DataCentre,
 		machine: member.New(config.Self, config.Random), watcher: config.Watcher}
 	roster.publish()
 	return roster, nil
@@ -79,6 +82,17 @@
 	return *roster.members.Load()
 }
 
+// Reader returns the instance that reads the store for this one: the first by name of those in its data centre that
+// take work. It is false for that instance itself and while none is known.
+func (roster *Roster) Reader() (netip.AddrPort, bool) {
+	for _, member := range roster.Members() {
+		if member.DataCentre == roster.home && member.State.Serves() {
+			return member.Peer, member.Name != roster.name
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
 // Ready tells the others that this instance takes work.
 func (roster *Roster) Ready() { roster.root.Send(roster.pid, ready{}) }
 
