--- /dev/null
+++ b/reel/catalogue/delta_test.go
@@ -0,0 +1,57 @@
+package catalogue
+
+import "testing"
+
+func TestDelta(t *testing.T) {
+	reader := New()
+	reader.Configure(NewConfiguration(3, []Route{{Name: "r", Host: "h", Prefix: "/"}}, []Service{{Name: "menus", MaxConnections: 9}}, Limits{}))
+	reader.Register(at(0), target("one", 1))
+	reader.Register(at(0), target("two", 1))
+
+	t.Run("a whole one brings a new instance up to date", func(t *testing.T) {
+		follower := New()
+		follower.Apply(at(10), reader.Since(0), true)
+		assertServes(t, follower, "one", "two")
+		if _, ok := follower.View().Configuration.Find("h", "/x"); !ok {
+			t.Error("the route is not known")
+		}
+	})
+	t.Run("a later one brings only what changed", func(t *testing.T) {
+		follower := New()
+		first := reader.Since(0)
+		follower.Apply(at(10), first, true)
+		reader.Remove(at(20), "one")
+		leaving := target("two", 2)
+		leaving.Leaving = true
+		reader.Register(at(20), leaving)
+		delta := reader.Since(first.Serial)
+		if len(delta.Targets) != 1 || len(delta.Removed) != 1 || delta.Version != 0 {
+			t.Errorf("the delta has %d targets, %d removed, version %d", len(delta.Targets), len(delta.Removed), delta.Version)
+		}
+		follower.Apply(at(30), delta, false)
+		assertServes(t, follower)
+	})
+	t.Run("a lapse that the reader holds back is held back for others", func(t *testing.T) {
+		reader, follower := New(), New()
+		reader.Register(at(0), target("one", 1))
+		first := reader.Since(0)
+		follower.Apply(at(10), first, true)
+		reader.Failed()
+		reader.Answered(at(5000))
+		reader.Remove(at(5000), "one")
+		second := reader.Since(first.Serial)
+		follower.Apply(at(5010), second, false)
+		assertServes(t, follower, "one")
+		reader.Tick(at(7300))
+		follower.Apply(at(7310), reader.Since(second.Serial), false)
+		assertServes(t, follower)
+	})
+	t.Run("an older configuration does not take force", func(t *testing.T) {
+		follower := New()
+		follower.Configure(NewConfiguration(8, nil, nil, Limits{}))
+		follower.Apply(at(10), reader.Since(0), true)
+		if got := follower.View().Configuration.Version; got != 8 {
+			t.Errorf("version %d is in force, want 8", got)
+		}
+	})
+}
