Let callers keep addresses for five seconds

Tried besides: naming all instances to every caller (no difference in the mean), idle connections for .6 s (worse).

--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -41,7 +41,7 @@
 	idleTimeout   = 2 * time.Minute
 	headerMost    = 64 << 10 // bytes
 	gcPercent     = 200      // small heaps collect too often at the usual setting
-	addressKeep   = time.Second
+	addressKeep   = 5 * time.Second
 	addressMost   = 64
 	staleFactor   = 3 // callers may keep an address for so many times as long
 	endMargin     = 500 * time.Millisecond
