--- a/reel/choice/board.go
+++ b/reel/choice/board.go
@@ -20,6 +20,7 @@
 	suspectShare  = 0.9                    // of usual answers that arrive within the time
 	suspectFactor = 2.0                    // times that time, after which silence is suspect
 	failedTerm    = 300 * time.Millisecond // in which a target that refused or broke off is passed over
+	secondShare   = 1                      // connections kept back for attempts after the first one
 	queueMost     = 0.4                    // of its slots, waiting at a target, above which fewer are sent there
 	windowMost    = 32                     // attempts in flight, from where the window bounds nothing
 	windowDrop    = 0.75                   // of the attempts in flight that stay when a queue is seen
@@ -120,7 +121,11 @@
 		if slices.Contains(tried, target.ID) || !room(target) {
 			continue
 		}
-		if score := board.score(now, route, target, service, candidates); score.less(bestScore) {
+		share := board.Share(target, service, candidates)
+		if len(tried) > 0 {
+			share += secondShare
+		}
+		if score := board.score(now, route, target, share); score.less(bestScore) {
 			best, bestScore = target, score
 		}
 	}
@@ -159,7 +164,7 @@
 	return cmp.Or(cmp.Compare(score.grade, other.grade), cmp.Compare(score.cost, other.cost)) < 0
 }
 
-func (board *Board) score(now time.Time, route *catalogue.Route, target catalogue.Target, service catalogue.Service, candidates []catalogue.Target) score {
+func (board *Board) score(now time.Time, route *catalogue.Route, target catalogue.Target, share int) score {
 	record := board.record(target.ID)
 	local := target.DataCentre == board.fleet.Home
 	cost := record.factor * (1 + board.pressure(now, record, target))
@@ -167,7 +172,7 @@
 		cost += distantCost
 	}
 	cost += board.random.Float64() * 0.2 // spreads equal targets
-	return score{board.grade(now, route, target, record, board.Share(target, service, candidates)), cost}
+	return score{board.grade(now, route, target, record, share), cost}
 }
 
 func (board *Board) grade(now time.Time, route *catalogue.Route, target catalogue.Target, record *record, share int) grade {
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -27,6 +27,7 @@
 type place struct {
 	revision uint64 // of the store
 	listed   bool   // whether everything was read once
+	lost     bool   // whether the history after an older reading was gone
 	process  uint64 // of the peer that gave the serial
 	serial   uint64
 	direct   time.Time // until when no peer is asked
@@ -79,8 +80,11 @@
 func (feed *Feed) askStore(place *place) {
 	var err error
 	if !place.listed {
-		place.revision, err = feed.list()
+		place.revision, err = feed.list(!place.lost)
 		place.listed = err == nil
+		if place.listed && !place.lost {
+			return // a watch brings what has changed since the cheap reading
+		}
 	} else {
 		place.revision, err = feed.watch(place.revision)
 	}
@@ -90,7 +94,7 @@
 		feed.contacted(place.revision, 0)
 		feed.sleep(watchPause)
 	case errors.Is(err, platform.ErrHistoryLost):
-		place.listed = false
+		place.listed, place.lost = false, true
 	default:
 		feed.root.Send(feed.pid, failed{err})
 		feed.sleep(place.backoff)
@@ -99,12 +103,13 @@
 }
 
 // list reads all keys, page by page, and returns the revision of the first page, from which a watch misses nothing.
-func (feed *Feed) list() (uint64, error) {
+// A cheap reading may be seconds old.
+func (feed *Feed) list(cheap bool) (uint64, error) {
 	var revision uint64
 	after, first := "", true
 	for {
 		reading, err := feed.call(callMost, func(ctx context.Context) (platform.Reading, error) {
-			return feed.store.Range(ctx, after)
+			return feed.store.Range(ctx, after, cheap)
 		})
 		if err != nil {
 			return 0, err
