--- a/reel/extra/budget.go
+++ b/reel/extra/budget.go
@@ -20,9 +20,9 @@
 
 const (
 	// safety keeps this instance below its part of the ratio: arrivals are delayed and windows slide.
-	safety = 0.85
+	safety = 0.9
 	// hedgeShare is the part of the allowance that hedges may use.
-	hedgeShare = 0.75
+	hedgeShare = 0.85
 	buckets    = 20
 )
 
