Tell the end of a given-up call before its connection closes; never pass on a success without a signature

Causes, found by new tests of connections and of the door: giving up closed the connection first, so the reader told a failure of the target, which then counted against it; and a 2xx answer without a signature to a non-idempotent request came back to its caller as the target's answer. Change: the order; only failures are passed on as such.

--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -126,7 +126,7 @@
 		part.answer = answer
 		return nil
 	}
-	if answer.Whole() && answer.Fate != NotRun {
+	if answer.Status >= 300 && answer.Fate != NotRun {
 		machine.relay = answer
 	}
 	if answer.Fate == NotRun {
--- /dev/null
+++ b/shallotreel/door/door_test.go
@@ -0,0 +1,232 @@
+package door
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"shallotreel.example/platform"
+	"shallotreel.example/reel/catalogue"
+	"shallotreel.example/reel/extra"
+	"shallotreel.example/reel/result"
+	"shallotreel.example/shallotreel/line"
+)
+
+type fixed struct{ view *catalogue.View }
+
+func (fixed fixed) View() *catalogue.View { return fixed.view }
+
+type records struct{ last atomic.Pointer[Record] }
+
+func (records *records) Record(record Record) { records.last.Store(&record) }
+
+// fixture is a door before targets that run the handler.
+type fixture struct {
+	door    *Door
+	records *records
+	runs    atomic.Int64
+}
+
+func newFixture(t *testing.T, route catalogue.Route, handler http.HandlerFunc) *fixture {
+	t.Helper()
+	fixture := &fixture{records: &records{}}
+	book := catalogue.New()
+	route.Name, route.Host, route.Prefix = "r", "h.example", "/x/"
+	route.Timeout, route.Goal = time.Second, 300*time.Millisecond
+	var services []catalogue.Service
+	for _, name := range route.Names() {
+		services = append(services, catalogue.Service{Name: name, MaxConnections: 40})
+		target := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			fixture.runs.Add(1)
+			writer.Header().Set("Request-Id", request.Header.Get("Request-Id"))
+			handler(writer, request)
+		}))
+		t.Cleanup(target.Close)
+		book.Register(time.Now(), catalogue.Target{ID: "in-" + name, Service: name, DataCentre: "a", Slots: 4,
+			Address: netip.MustParseAddrPort(target.Listener.Addr().String())})
+	}
+	book.Configure(catalogue.NewConfiguration(1, []catalogue.Route{route}, services, catalogue.Limits{BodyBytes: 100}))
+	fixture.serve(book)
+	return fixture
+}
+
+func (fixture *fixture) serve(book *catalogue.Catalogue) {
+	pool := line.NewPool()
+	known := fixed{book.View()}
+	limits := extra.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 58}
+	router := NewRouter(known, pool, limits, "a", rand.New(rand.NewPCG(1, 2)))
+	fixture.door = New(known, router, pool, fixture.records)
+}
+
+func (fixture *fixture) ask(method, path, body string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	request.Host = "h.example"
+	request.RequestURI = path
+	request.Header.Set("Request-Id", "one")
+	request.Header.Set("Deadline-Ms", "900")
+	recorder := httptest.NewRecorder()
+	fixture.door.ServeHTTP(recorder, request)
+	return recorder
+}
+
+func assertStatus(t *testing.T, recorder *httptest.ResponseRecorder, want int) {
+	t.Helper()
+	if recorder.Code != want {
+		t.Fatalf("status %d, want %d: %s", recorder.Code, want, recorder.Body)
+	}
+}
+
+func assertHeader(t *testing.T, recorder *httptest.ResponseRecorder, name, want string) {
+	t.Helper()
+	if got := recorder.Header().Get(name); got != want {
+		t.Errorf("%s is %q, want %q", name, got, want)
+	}
+}
+
+var (
+	singleRoute = catalogue.Route{Service: "desk", Attempts: 2, Idempotent: true}
+	writeRoute  = catalogue.Route{Service: "desk", Attempts: 2}
+	shardRoute  = catalogue.Route{Shards: []string{"s1", "s2"}, Attempts: 2, Idempotent: true, Top: 3, LeastShare: 1}
+)
+
+func TestRelay(t *testing.T) {
+	fixture := newFixture(t, singleRoute, func(writer http.ResponseWriter, request *http.Request) {
+		if request.RequestURI != "/x/a%2f/../b?q=%31" || request.Header.Get("Expect-Instance") != "in-desk" {
+			t.Errorf("the target got %q for %q", request.RequestURI, request.Header.Get("Expect-Instance"))
+		}
+		if left := request.Header.Get("Deadline-Ms"); left > "900" || left == "" {
+			t.Errorf("the target may work for %q", left)
+		}
+		writer.Header().Set("Server-Stamp", "stamp")
+		writer.WriteHeader(http.StatusAccepted)
+		fmt.Fprint(writer, "whole body")
+	})
+	recorder := fixture.ask(http.MethodGet, "/x/a%2f/../b?q=%31", "")
+	assertStatus(t, recorder, http.StatusAccepted)
+	assertHeader(t, recorder, "Server-Stamp", "stamp")
+	if recorder.Body.String() != "whole body" {
+		t.Errorf("body %q", recorder.Body)
+	}
+}
+
+func TestBody(t *testing.T) {
+	fixture := newFixture(t, writeRoute, func(writer http.ResponseWriter, request *http.Request) {
+		body, err := io.ReadAll(request.Body)
+		if err != nil || string(body) != "weighed" {
+			t.Errorf("the target got %q, %v", body, err)
+		}
+		writer.Header().Set("Server-Stamp", "stamp")
+	})
+	assertStatus(t, fixture.ask(http.MethodPost, "/x/", "weighed"), http.StatusOK)
+	assertStatus(t, fixture.ask(http.MethodPost, "/x/", strings.Repeat("w", 101)), http.StatusRequestEntityTooLarge)
+	if runs := fixture.runs.Load(); runs != 1 {
+		t.Errorf("targets ran %d requests, want 1", runs)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	t.Run("proved not to have run", func(t *testing.T) {
+		fixture := newFixture(t, writeRoute, func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Not-Run", "1")
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		})
+		recorder := fixture.ask(http.MethodPost, "/x/", "w")
+		assertStatus(t, recorder, http.StatusServiceUnavailable)
+		if recorder.Header().Get("Retry-After") == "" {
+			t.Error("it does not say when to come back")
+		}
+	})
+	t.Run("a status that promises it without proof is not passed on", func(t *testing.T) {
+		fixture := newFixture(t, writeRoute, func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Server-Stamp", "stamp")
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		})
+		recorder := fixture.ask(http.MethodPost, "/x/", "w")
+		assertStatus(t, recorder, http.StatusBadGateway)
+		assertHeader(t, recorder, "Server-Stamp", "")
+		if runs := fixture.runs.Load(); runs != 1 {
+			t.Errorf("targets got it %d times, want once", runs)
+		}
+	})
+	t.Run("no configuration is known", func(t *testing.T) {
+		fixture := &fixture{records: &records{}}
+		fixture.serve(catalogue.New())
+		assertStatus(t, fixture.ask(http.MethodGet, "/x/", ""), http.StatusServiceUnavailable)
+	})
+	t.Run("no route", func(t *testing.T) {
+		fixture := newFixture(t, singleRoute, nil)
+		assertStatus(t, fixture.ask(http.MethodGet, "/y/", ""), http.StatusNotFound)
+		if code := fixture.records.last.Load().Code; code != result.UnknownRoute {
+			t.Errorf("recorded as %v", code)
+		}
+	})
+}
+
+func TestFailures(t *testing.T) {
+	t.Run("the target's own failure keeps its signature and status", func(t *testing.T) {
+		fixture := newFixture(t, writeRoute, func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Server-Stamp", "stamp")
+			writer.WriteHeader(http.StatusInternalServerError)
+		})
+		recorder := fixture.ask(http.MethodPost, "/x/", "w")
+		assertStatus(t, recorder, http.StatusInternalServerError)
+		assertHeader(t, recorder, "Server-Stamp", "stamp")
+	})
+	t.Run("a success without a signature is none", func(t *testing.T) {
+		fixture := newFixture(t, writeRoute, func(http.ResponseWriter, *http.Request) {})
+		assertStatus(t, fixture.ask(http.MethodPost, "/x/", "w"), http.StatusBadGateway)
+	})
+	t.Run("an encoded body is not the target's", func(t *testing.T) {
+		fixture := newFixture(t, writeRoute, func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Server-Stamp", "stamp")
+			writer.Header().Set("Content-Encoding", "gzip")
+		})
+		assertStatus(t, fixture.ask(http.MethodPost, "/x/", "w"), http.StatusBadGateway)
+	})
+}
+
+func TestGathered(t *testing.T) {
+	record := func(first byte) string { return string(first) + strings.Repeat("0", 15) }
+	fixture := newFixture(t, shardRoute, func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Server-Stamp", "stamp-"+request.Header.Get("Expect-Instance"))
+		fmt.Fprint(writer, record('b')+record('d')+"rest")
+	})
+	recorder := fixture.ask(http.MethodGet, "/x/", "")
+	assertStatus(t, recorder, http.StatusOK)
+	assertHeader(t, recorder, "Part-Stamps", "stamp-in-s1, stamp-in-s2")
+	assertHeader(t, recorder, "Missing-Parts", "0")
+	if want := record('d') + record('d') + record('b'); recorder.Body.String() != want {
+		t.Errorf("body %q, want %q", recorder.Body, want)
+	}
+}
+
+func TestTurns(t *testing.T) {
+	turns := newTurns([]catalogue.Weight{{Service: "a", Weight: 3}, {Service: "b", Weight: 1}, {Service: "c"}})
+	counts := map[string]int{}
+	for range 400 {
+		counts[turns.next()]++
+	}
+	if counts["a"] != 300 || counts["b"] != 100 {
+		t.Errorf("dealt %v", counts)
+	}
+}
+
+func TestClosing(t *testing.T) {
+	fixture := newFixture(t, singleRoute, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Server-Stamp", "stamp")
+	})
+	fixture.door.Close()
+	recorder := fixture.ask(http.MethodGet, "/x/", "")
+	assertStatus(t, recorder, http.StatusOK)
+	assertHeader(t, recorder, "Connection", "close")
+	if _, err := (platform.Resolution{}).Encode(); err != nil {
+		t.Errorf("an empty resolution cannot be written: %v", err)
+	}
+}
--- a/shallotreel/line/pool.go
+++ b/shallotreel/line/pool.go
@@ -131,13 +131,14 @@
 	call.given = true
 	line := call.line
 	pool.mutex.Unlock()
+	// Its end must not look like the target's doing, so it is told before the connection closes.
+	call.finish(Result{Sent: line != nil, Err: ErrGivenUp})
 	if call.cancel != nil {
 		call.cancel()
 	}
 	if line != nil {
 		pool.drop(line)
 	}
-	call.finish(Result{Sent: line != nil, Err: ErrGivenUp})
 }
 
 // take assigns the newest idle connection to the call.
