--- a/reel/catalogue/catalogue.go
+++ b/reel/catalogue/catalogue.go
@@ -86,7 +86,7 @@
 }
 
 // Register takes a target's report. A report that is older than a known one of the same process is dropped.
-func (catalogue *Catalogue) Register(now time.Time, target Target) (Change, bool) {
+func (catalogue *Catalogue) Register(target Target) (Change, bool) {
 	known, ok := catalogue.entries[target.ID]
 	if !ok {
 		known = &entry{Target: target, listed: true}
--- a/reel/catalogue/catalogue_test.go
+++ b/reel/catalogue/catalogue_test.go
@@ -32,13 +32,13 @@
 func TestRemoval(t *testing.T) {
 	t.Run("takes effect at once while the store answers", func(t *testing.T) {
 		catalogue := New()
-		catalogue.Register(at(0), target("one", 1))
+		catalogue.Register(target("one", 1))
 		catalogue.Remove(at(100), "one")
 		assertServes(t, catalogue)
 	})
 	t.Run("is held as a lapse just after the store is back", func(t *testing.T) {
 		catalogue := New()
-		catalogue.Register(at(0), target("one", 1))
+		catalogue.Register(target("one", 1))
 		catalogue.Failed()
 		catalogue.Answered(at(5000))
 		catalogue.Remove(at(5000), "one")
@@ -48,7 +48,7 @@
 	})
 	t.Run("is not held longer when it is learned late after the return", func(t *testing.T) {
 		catalogue := New()
-		catalogue.Register(at(0), target("one", 1))
+		catalogue.Register(target("one", 1))
 		catalogue.Failed()
 		catalogue.Answered(at(5000))
 		catalogue.Remove(at(7120), "one")
@@ -57,11 +57,11 @@
 	})
 	t.Run("ends when the living target registers again", func(t *testing.T) {
 		catalogue := New()
-		catalogue.Register(at(0), target("one", 1))
+		catalogue.Register(target("one", 1))
 		catalogue.Failed()
 		catalogue.Answered(at(5000))
 		catalogue.Remove(at(5000), "one")
-		catalogue.Register(at(6000), target("one", 2))
+		catalogue.Register(target("one", 2))
 		catalogue.Tick(at(9000))
 		assertServes(t, catalogue, "one")
 	})
@@ -70,37 +70,37 @@
 func TestReports(t *testing.T) {
 	t.Run("an older report does not bring a leaving target back", func(t *testing.T) {
 		catalogue := New()
-		catalogue.Register(at(0), target("one", 4))
+		catalogue.Register(target("one", 4))
 		leaving := target("one", 5)
 		leaving.Leaving = true
-		catalogue.Register(at(10), leaving)
-		catalogue.Register(at(20), target("one", 3))
-		catalogue.Register(at(30), target("one", 6))
+		catalogue.Register(leaving)
+		catalogue.Register(target("one", 3))
+		catalogue.Register(target("one", 6))
 		assertServes(t, catalogue)
 	})
 	t.Run("an older report does not bring a removed target back", func(t *testing.T) {
 		catalogue := New()
-		catalogue.Register(at(0), target("one", 4))
+		catalogue.Register(target("one", 4))
 		catalogue.Remove(at(10), "one")
-		catalogue.Register(at(20), target("one", 4))
+		catalogue.Register(target("one", 4))
 		assertServes(t, catalogue)
 	})
 	t.Run("a new process under the same id starts anew", func(t *testing.T) {
 		catalogue := New()
 		leaving := target("one", 9)
 		leaving.Leaving = true
-		catalogue.Register(at(0), leaving)
+		catalogue.Register(leaving)
 		fresh := target("one", 1)
 		fresh.Born = 77
-		catalogue.Register(at(10), fresh)
+		catalogue.Register(fresh)
 		assertServes(t, catalogue, "one")
 	})
 	t.Run("a full reading removes what it does not name", func(t *testing.T) {
 		catalogue := New()
-		catalogue.Register(at(0), target("one", 1))
-		catalogue.Register(at(0), target("two", 1))
+		catalogue.Register(target("one", 1))
+		catalogue.Register(target("two", 1))
 		catalogue.BeginListing()
-		catalogue.Register(at(10), target("two", 2))
+		catalogue.Register(target("two", 2))
 		catalogue.EndListing(at(10))
 		assertServes(t, catalogue, "two")
 	})
--- a/reel/catalogue/delta.go
+++ b/reel/catalogue/delta.go
@@ -46,7 +46,7 @@
 		catalogue.BeginListing()
 	}
 	for _, target := range delta.Targets {
-		if change, ok := catalogue.Register(now, target); ok {
+		if change, ok := catalogue.Register(target); ok {
 			changes = append(changes, change)
 		}
 	}
--- a/reel/catalogue/delta_test.go
+++ b/reel/catalogue/delta_test.go
@@ -5,8 +5,8 @@
 func TestDelta(t *testing.T) {
 	reader := New()
 	reader.Configure(NewConfiguration(3, []Route{{Name: "r", Host: "h", Prefix: "/"}}, []Service{{Name: "menus", MaxConnections: 9}}, Limits{}))
-	reader.Register(at(0), target("one", 1))
-	reader.Register(at(0), target("two", 1))
+	reader.Register(target("one", 1))
+	reader.Register(target("two", 1))
 
 	t.Run("a whole one brings a new instance up to date", func(t *testing.T) {
 		follower := New()
@@ -23,7 +23,7 @@
 		reader.Remove(at(20), "one")
 		leaving := target("two", 2)
 		leaving.Leaving = true
-		reader.Register(at(20), leaving)
+		reader.Register(leaving)
 		delta := reader.Since(first.Serial)
 		if len(delta.Targets) != 1 || len(delta.Removed) != 1 || delta.Version != 0 {
 			t.Errorf("the delta has %d targets, %d removed, version %d", len(delta.Targets), len(delta.Removed), delta.Version)
@@ -33,7 +33,7 @@
 	})
 	t.Run("a lapse that the reader holds back is held back for others", func(t *testing.T) {
 		reader, follower := New(), New()
-		reader.Register(at(0), target("one", 1))
+		reader.Register(target("one", 1))
 		first := reader.Since(0)
 		follower.Apply(at(10), first, true)
 		reader.Failed()
--- /dev/null
+++ b/shallotreel/copies/copies_test.go
@@ -0,0 +1,65 @@
+package copies
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"shallotreel.example/reel/catalogue"
+)
+
+type source struct{ delay time.Duration }
+
+func (source source) Since(query Query) Reply {
+	time.Sleep(source.delay)
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	return Reply{Process: 7, Whole: query.Process != 7, Store: 12, Age: time.Second,
+		Delta: catalogue.Delta{Serial: query.Serial + 1, Targets: []catalogue.Target{{ID: "one", Address: address}}}}
+}
+
+func serve(t *testing.T, source Source) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	listener.Close()
+	server, err := Serve(address, source)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	return address
+}
+
+func TestAsk(t *testing.T) {
+	t.Run("brings what changed", func(t *testing.T) {
+		client := &Client{}
+		defer client.Close()
+		address := serve(t, source{})
+		for range 2 {
+			reply, err := client.Ask(address, Query{Process: 7, Serial: 3}, 5*time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if reply.Whole || reply.Delta.Serial != 4 || reply.Age != time.Second || reply.Delta.Targets[0].ID != "one" {
+				t.Errorf("got %+v", reply)
+			}
+		}
+	})
+	t.Run("ends when the peer is silent", func(t *testing.T) {
+		client := &Client{}
+		if _, err := client.Ask(serve(t, source{time.Minute}), Query{}, 20*time.Millisecond); !errors.Is(err, ErrSilent) {
+			t.Errorf("error %v, want silence", err)
+		}
+	})
+	t.Run("ends when nobody listens", func(t *testing.T) {
+		client := &Client{}
+		if _, err := client.Ask(netip.MustParseAddrPort("127.0.0.1:1"), Query{}, time.Second); err == nil {
+			t.Error("no error")
+		}
+	})
+}
--- a/shallotreel/door/door_test.go
+++ b/shallotreel/door/door_test.go
@@ -49,7 +49,7 @@
 			handler(writer, request)
 		}))
 		t.Cleanup(target.Close)
-		book.Register(time.Now(), catalogue.Target{ID: "in-" + name, Service: name, DataCentre: "a", Slots: 4,
+		book.Register(catalogue.Target{ID: "in-" + name, Service: name, DataCentre: "a", Slots: 4,
 			Address: netip.MustParseAddrPort(target.Listener.Addr().String())})
 	}
 	book.Configure(catalogue.NewConfiguration(1, []catalogue.Route{route}, services, catalogue.Limits{BodyBytes: 100}))
--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -180,7 +180,7 @@
 			Warn("registration ignored")
 		return
 	}
-	if change, ok := feed.catalogue.Register(now, target); ok {
+	if change, ok := feed.catalogue.Register(target); ok {
 		feed.note(change)
 	}
 }
