--- a/reel/query/end.go
+++ b/reel/query/end.go
@@ -117,11 +117,6 @@
 	return []Action{finish}
 }
 
-// Finished reports whether the request has ended.
-func (machine *Machine) Finished() bool {
-	return machine.finished
-}
-
 // Missing returns the services that have brought no answer, for the log.
 func (machine *Machine) Missing(now time.Time) []Gap {
 	var gaps []Gap
--- a/reel/query/messages.go
+++ b/reel/query/messages.go
@@ -64,7 +64,7 @@
 	return answer.Fate == Ran && answer.Status >= 300 && answer.Status < 500
 }
 
-// Action is what the machine asks its host to do: Send, Cancel or Finish.
+// Action is what the machine asks its host to do: Send or Finish.
 type Action interface{ action() }
 
 // Send asks to send an attempt.
@@ -76,9 +76,6 @@
 	Until   time.Time
 }
 
-// Cancel asks to give up an attempt.
-type Cancel struct{ Serial uint64 }
-
 // Finish ends the request.
 type Finish struct {
 	Code       result.Code
@@ -91,5 +88,4 @@
 }
 
 func (Send) action()   {}
-func (Cancel) action() {}
 func (Finish) action() {}
--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"shallotreel.example/reel/catalogue"
 	"shallotreel.example/reel/extra"
 )
 
@@ -24,11 +23,10 @@
 	plan     Plan
 	router   Router
 	parts    []*part
-	attempts map[uint64]*attempt
+	attempts map[uint64]*part // the open ones
 	serial   func() uint64
 	relay    *Answer // the newest failure that a target signed
 	mayRun   bool
-	offered  bool
 	finished bool
 }
 
@@ -47,14 +45,9 @@
 	held     string // why no other target was asked
 }
 
-type attempt struct {
-	part *part
-	sent time.Time
-}
-
 // New returns the machine of a request; serial numbers its attempts.
 func New(plan Plan, router Router, serial func() uint64) *Machine {
-	machine := &Machine{plan: plan, router: router, serial: serial, attempts: map[uint64]*attempt{}}
+	machine := &Machine{plan: plan, router: router, serial: serial, attempts: map[uint64]*part{}}
 	for _, service := range plan.Services {
 		machine.parts = append(machine.parts, &part{service: service})
 	}
@@ -100,12 +93,11 @@
 
 // Answered takes the end of an attempt; it reports false for one that is not awaited.
 func (machine *Machine) Answered(now time.Time, answer *Answer) ([]Action, bool) {
-	attempt, ok := machine.attempts[answer.Serial]
+	part, ok := machine.attempts[answer.Serial]
 	if !ok || machine.finished {
 		return nil, false
 	}
 	delete(machine.attempts, answer.Serial)
-	part := attempt.part
 	part.live--
 	part.arrived = part.arrived || answer.Sent
 	if answer.Fate == NotRun {
@@ -198,8 +190,7 @@
 	part.live++
 	part.lastSent = now
 	serial := machine.serial()
-	machine.attempts[serial] = &attempt{part, now}
-	machine.offered = true
+	machine.attempts[serial] = part
 	if machine.plan.Route.Idempotent {
 		part.hedgeAt = now.Add(machine.hedgeDelay(now))
 	}
@@ -258,8 +249,3 @@
 	}
 	return b
 }
-
-// Route returns the route of the request.
-func (machine *Machine) Route() *catalogue.Route {
-	return machine.plan.Route
-}
--- a/shallotreel/door/run.go
+++ b/shallotreel/door/run.go
@@ -75,8 +75,6 @@
 		switch action := action.(type) {
 		case query.Send:
 			run.send(now, action)
-		case query.Cancel:
-			run.door.pool.GiveUp(run.calls[action.Serial])
 		case query.Finish:
 			return &action
 		}
