Keep a connection whose answer is read before the write of its request returns

Cause: a connection is kept only if its request was sent whole, and that was noted after the write returned; an answer that came first closed the connection. Found by go test work in a fresh clone beside load: TestReuse made two connections. Change: a request that fits the socket's buffer counts as sent before the write; a failed write still drops the line.

--- a/shallotreel/line/line.go
+++ b/shallotreel/line/line.go
@@ -53,11 +53,13 @@
 
 // write sends the request; one that may not fit the socket's buffer is sent in the background.
 func (line *line) write(call *Call) {
-	line.written.Store(false)
 	if len(call.Data) <= writeInline {
+		// The kernel takes it whole, and the answer may be read before the write returns.
+		line.written.Store(true)
 		line.send(call)
 		return
 	}
+	line.written.Store(false)
 	go line.send(call)
 }
 
