Keep asking for a shard that refuses for load until the deadline of a gathered request

A holder's refusal names a time to come back of at least a second, meant for callers. Ruled out: TooLate answers (the earlier suspicion; none was logged), the queue at the target. Change: a refused part of a gathered request moves at once to a replica that has not refused it (a refusal costs no target anything), and after the last one comes back when the holder said or at half of the time left.

--- a/reel/request/failure.go
+++ b/reel/request/failure.go
@@ -89,14 +89,24 @@
 	return nil
 }
 
-// retryLater plans another attempt after a refusal for load. Without budget a request that wants whole
-// coverage comes back when the holder said, as long as its deadline allows.
+// retryLater plans another attempt after a refusal for load. Without budget a request that wants whole coverage
+// moves to a replica that has not refused it, since the refusal cost no target anything; after the last one it
+// comes back when the holder said, or when half of its time is left if that would be too late: the holder's word
+// has a floor that is meant for callers.
 func (machine *Machine) retryLater(now time.Time, part *part, after time.Duration) {
 	machine.retry(now, part, true)
-	comeBack := now.Add(max(after, part.backoff))
 	// One shard alone has nothing to lose by a refusal that the caller sees at once.
 	patient := machine.plan.Kind.Rule == document.Coverage && len(machine.parts) > 1 && part.tries < maxTries
-	if part.dead && patient && comeBack.Before(machine.lastMoment()) {
+	if !part.dead || !patient {
+		return
+	}
+	if machine.canChoose(now, part) {
+		part.dead = false
+		part.retryAt = now
+		return
+	}
+	comeBack := now.Add(max(min(after, machine.lastMoment().Sub(now)/2), part.backoff))
+	if comeBack.Before(machine.lastMoment()) {
 		part.dead = false
 		part.retryAt = comeBack
 	}
