Refuse at once what no registered target can serve

Ruled out: a full pool (no target was listed for the service). Change: the machine asks whether any target is registered, before it sends anything and while it waits for room.

--- a/reel/query/end.go
+++ b/reel/query/end.go
@@ -6,6 +6,28 @@
 	"shallotreel.example/reel/result"
 )
 
+const noTarget = "no target is registered for it"
+
+// hopeless finds what cannot be answered before any of it is sent: services without a target, and callers whose
+// time is over.
+func (machine *Machine) hopeless(now time.Time) (Finish, bool) {
+	if !now.Before(machine.last()) {
+		return machine.lateness(), true
+	}
+	open := 0
+	for _, part := range machine.parts {
+		if machine.router.Serves(part.service) {
+			open++
+			continue
+		}
+		part.held, part.dead = noTarget, true
+	}
+	if open == 0 || machine.gathers() && !machine.enough(open) {
+		return Finish{Code: result.NoTarget, RetryAfter: returnLater, Reason: "too few services have a target"}, true
+	}
+	return Finish{}, false
+}
+
 // judge ends the request when its answer is whole, worth more now than later, or impossible.
 func (machine *Machine) judge(now time.Time) []Action {
 	if machine.finished {
--- a/reel/query/messages.go
+++ b/reel/query/messages.go
@@ -22,6 +22,8 @@
 // Router decides about targets and extra arrivals for all requests of an instance.
 type Router interface {
 	Choose(now time.Time, route *catalogue.Route, service string, tried []string) (choice.Pick, bool)
+	// Serves reports whether any target is registered for the service, with or without room.
+	Serves(service string) bool
 	First(now time.Time, service string)
 	Spend(now time.Time, service string, purpose extra.Purpose) bool
 	Usual(route *catalogue.Route, share float64) time.Duration
--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -15,6 +15,7 @@
 	roomShare      = 4                     // the part of the goal for which a request waits for its first connection
 	backMost       = 8                     // refusals that one part takes
 	returnSoon     = 150 * time.Millisecond
+	returnLater    = 500 * time.Millisecond // while no target is registered: processes take about that to start
 	answerSlip     = 5 * time.Millisecond // between the last moment to answer and the deadline
 )
 
@@ -54,10 +55,16 @@
 	return machine
 }
 
-// Begin starts the request.
+// Begin starts the request, unless it cannot be served as things are.
 func (machine *Machine) Begin(now time.Time) []Action {
+	if finish, hopeless := machine.hopeless(now); hopeless {
+		return machine.end(finish)
+	}
 	var actions []Action
 	for _, part := range machine.parts {
+		if part.dead {
+			continue
+		}
 		machine.router.First(now, part.service)
 		actions = append(actions, machine.try(now, part, "first")...)
 	}
@@ -203,6 +210,10 @@
 	if part.live > 0 {
 		return nil
 	}
+	if !machine.router.Serves(part.service) {
+		part.held, part.dead = noTarget, true
+		return nil
+	}
 	patience := machine.plan.Goal
 	if !machine.gathers() {
 		patience = machine.plan.Begun.Add(machine.plan.Goal.Sub(machine.plan.Begun) / roomShare)
--- a/reel/query/query_test.go
+++ b/reel/query/query_test.go
@@ -24,6 +24,7 @@
 // router offers three targets of each service.
 type router struct {
 	full   bool
+	empty  []string // services without a registered target
 	budget int
 	firsts map[string]int
 	spent  int
@@ -32,13 +33,15 @@
 func (router *router) Choose(_ time.Time, _ *catalogue.Route, service string, tried []string) (choice.Pick, bool) {
 	for i := range 3 {
 		id := fmt.Sprintf("%s/%d", service, i)
-		if !router.full && !slices.Contains(tried, id) {
+		if !router.full && router.Serves(service) && !slices.Contains(tried, id) {
 			return choice.Pick{Target: catalogue.Target{ID: id, Address: netip.AddrPort{}}}, true
 		}
 	}
 	return choice.Pick{}, false
 }
 
+func (router *router) Serves(service string) bool { return !slices.Contains(router.empty, service) }
+
 func (router *router) First(_ time.Time, service string) { router.firsts[service]++ }
 
 func (router *router) Spend(time.Time, string, extra.Purpose) bool {
@@ -284,6 +287,53 @@
 	})
 }
 
+// Services without a target: all of a shard's targets crashed, or a new set of shards is named before it runs.
+func TestHopeless(t *testing.T) {
+	t.Run("a service without a target refuses at once, unsent", func(t *testing.T) {
+		session := newSession(t, single(true))
+		session.router.empty = []string{"desk"}
+		session.begin()
+		session.assertSends(0)
+		session.assertEnd(result.NoTarget)
+		if session.finish.RetryAfter <= 0 {
+			t.Error("it does not say when to come back")
+		}
+	})
+	t.Run("too few shards with a target: nothing is sent", func(t *testing.T) {
+		session := newSession(t, gathered(10, 0.89))
+		session.router.empty = []string{"shard-1", "shard-2"}
+		session.begin()
+		session.assertSends(0)
+		session.assertEnd(result.NoTarget)
+	})
+	t.Run("a shard without a target is not waited for", func(t *testing.T) {
+		session := newSession(t, gathered(10, 0.89))
+		session.router.empty = []string{"shard-4"}
+		session.begin()
+		session.assertSends(9)
+		session.succeed(30, session.sends)
+		session.assertEnd(result.Partial)
+		if session.finish.Missing != 1 || session.router.firsts["shard-4"] != 0 {
+			t.Errorf("%d missing, %d arrivals counted", session.finish.Missing, session.router.firsts["shard-4"])
+		}
+	})
+	t.Run("the last target goes while the request waits for room", func(t *testing.T) {
+		session := newSession(t, single(true))
+		session.router.full = true
+		session.begin()
+		session.assertOpen()
+		session.router.empty = []string{"desk"}
+		session.wake(10)
+		session.assertEnd(result.NoTarget)
+	})
+	t.Run("a caller whose time is over costs no target anything", func(t *testing.T) {
+		session := newSession(t, single(true))
+		session.take(session.machine.Begin(at(1196)))
+		session.assertSends(0)
+		session.assertEnd(result.NoTarget)
+	})
+}
+
 func TestMerge(t *testing.T) {
 	record := func(first byte) []byte {
 		record := make([]byte, RecordSize)
--- a/shallotreel/door/router.go
+++ b/shallotreel/door/router.go
@@ -64,6 +64,11 @@
 	return router.board.Choose(now, route, view.Targets(service), view.Configuration.Services[service], tried, room)
 }
 
+// Serves reports whether any target is registered for the service.
+func (router *Router) Serves(service string) bool {
+	return len(router.catalogue.View().Targets(service)) > 0
+}
+
 // First counts the first arrival of a request at the service.
 func (router *Router) First(now time.Time, service string) {
 	router.mutex.Lock()
