--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -55,6 +55,7 @@
 	}
 	news  struct{ reading platform.Reading }
 	told  struct{ reply copies.Reply }
+	lent  struct{ reply copies.Reply } // old knowledge, better than none
 	since struct{ serial uint64 }
 )
 
@@ -62,6 +63,8 @@
 type Readers interface {
 	// Reader returns the peer that reads for this instance; false if this instance reads for itself.
 	Reader() (netip.AddrPort, bool)
+	// Serving returns the peers that take work.
+	Serving() []netip.AddrPort
 }
 
 // Config is what a feed is made of.
@@ -136,6 +139,11 @@
 		feed.apply(now, message.reading.Items)
 	case told:
 		feed.applyTold(now, message.reply)
+	case lent:
+		if feed.catalogue.Configuration() == nil {
+			feed.note(feed.catalogue.Apply(now, message.reply.Delta, message.reply.Whole)...)
+			feed.noteConfiguration("peer without the store", message.reply.Store)
+		}
 	case since:
 		actorContext.Respond(feed.catalogue.Since(message.serial))
 		return
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -46,6 +46,31 @@
 			continue
 		}
 		feed.askStore(place)
+		if !place.listed {
+			feed.borrow(client)
+		}
+	}
+}
+
+// borrow takes what a peer that serves requests knows, however old, while this instance knows nothing and cannot read
+// the store; what it then reads for itself replaces it.
+func (feed *Feed) borrow(client *copies.Client) {
+	if feed.View().Configuration != nil {
+		return
+	}
+	for _, peer := range feed.readers.Serving() {
+		reply, err := client.Ask(peer, copies.Query{}, peerMost)
+		if err != nil {
+			feed.log.WithError(err).WithField("peer", peer.String()).Warn("a peer does not tell what it knows")
+			continue
+		}
+		if reply.Delta.Version == 0 {
+			continue
+		}
+		feed.log.WithFields(logrus.Fields{"peer": peer.String(), "age_ms": reply.Age.Milliseconds(),
+			"version": reply.Delta.Version}).Warn("starting on a peer's knowledge, the store cannot be read")
+		feed.root.Send(feed.pid, lent{reply})
+		return
 	}
 }
 
--- a/shallotreel/roster/roster.go
+++ b/shallotreel/roster/roster.go
@@ -93,6 +93,21 @@
 	return netip.AddrPort{}, false
 }
 
+// Serving returns the peers that take work, those of the own data centre first.
+func (roster *Roster) Serving() []netip.AddrPort {
+	var near, far []netip.AddrPort
+	for _, member := range roster.Members() {
+		switch {
+		case member.Name == roster.name || !member.State.Serves():
+		case member.DataCentre == roster.home:
+			near = append(near, member.Peer)
+		default:
+			far = append(far, member.Peer)
+		}
+	}
+	return append(near, far...)
+}
+
 // Ready tells the others that this instance takes work.
 func (roster *Roster) Ready() { roster.root.Send(roster.pid, ready{}) }
 
