Leave out, or refuse for, shards for whose targets most requests wait in vain

Ruled out: the bound on extra arrivals, the share of connections. Change: the board keeps, for each service, the share of requests that waited in vain (half-life one second); above one half a part that finds no room is left out at once, and a request that this leaves hopeless is refused before any of it is sent.

--- a/reel/choice/board.go
+++ b/reel/choice/board.go
@@ -65,6 +65,8 @@
 	paces   map[string]*pace
 	random  *rand.Rand
 	sweptAt time.Time
+	// scarcities has the services for which a request has waited in vain.
+	scarcities map[string]*scarcity
 }
 
 type record struct {
@@ -93,7 +95,7 @@
 // New returns a board that knows nothing of any target.
 func New(random *rand.Rand) *Board {
 	return &Board{records: map[string]*record{}, paces: map[string]*pace{}, random: random,
-		fleet: Fleet{Total: 1}}
+		scarcities: map[string]*scarcity{}, fleet: Fleet{Total: 1}}
 }
 
 // SetFleet tells with how many instances the targets are shared.
@@ -336,6 +338,11 @@
 		return
 	}
 	board.sweptAt = now
+	for service, scarcity := range board.scarcities {
+		if now.Sub(scarcity.at) >= forgetAfter {
+			delete(board.scarcities, service)
+		}
+	}
 	for id, record := range board.records {
 		if len(record.open) == 0 && now.Sub(record.usedAt) >= forgetAfter {
 			delete(board.records, id)
--- /dev/null
+++ b/reel/choice/scarcity.go
@@ -0,0 +1,45 @@
+package choice
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	scarceShare    = 0.5         // of requests that wait in vain, above which a service is scarce
+	scarceWeight   = 0.05        // of one request in that share
+	scarceHalfLife = time.Second // of the share, so that a scarce service is waited for again now and then
+)
+
+// scarcity is the share of requests that of late waited in vain for a target of one service.
+type scarcity struct {
+	share float64
+	at    time.Time
+}
+
+func (scarcity *scarcity) now(now time.Time) float64 {
+	return scarcity.share * math.Exp2(-now.Sub(scarcity.at).Seconds()/scarceHalfLife.Seconds())
+}
+
+// Waited notes that a request got a target of the service, or waited for one in vain.
+func (board *Board) Waited(now time.Time, service string, inVain bool) {
+	known, ok := board.scarcities[service]
+	if !ok {
+		if !inVain {
+			return
+		}
+		known = &scarcity{at: now}
+		board.scarcities[service] = known
+	}
+	share := known.now(now) * (1 - scarceWeight)
+	if inVain {
+		share += scarceWeight
+	}
+	known.share, known.at = share, now
+}
+
+// Scarce reports whether most requests of late waited in vain for a target of the service.
+func (board *Board) Scarce(now time.Time, service string) bool {
+	known, ok := board.scarcities[service]
+	return ok && known.now(now) > scarceShare
+}
--- a/reel/query/end.go
+++ b/reel/query/end.go
@@ -6,28 +6,40 @@
 	"shallotreel.example/reel/result"
 )
 
-const noTarget = "no target is registered for it"
+// Reasons why a shard is not asked at all.
+const (
+	noTarget = "no target is registered for it"
+	noRoom   = "most requests wait in vain for its targets"
+)
 
-// hopeless finds what cannot be answered before any of it is sent: services without a target, and callers whose
-// time is over.
+// hopeless finds what cannot be answered before any of it is sent: services without a target or for whose targets
+// most wait in vain, and callers whose time is over.
 func (machine *Machine) hopeless(now time.Time) (Finish, bool) {
 	if !now.Before(machine.last()) {
 		return machine.lateness(), true
 	}
 	open := 0
 	for _, part := range machine.parts {
-		if machine.router.Serves(part.service) {
+		switch {
+		case !machine.router.Serves(part.service):
+			part.held, part.dead = noTarget, true
+		case machine.router.Scarce(now, part.service) && !machine.roomFor(now, part):
+			part.held, part.dead = noRoom, true
+		default:
 			open++
-			continue
 		}
-		part.held, part.dead = noTarget, true
 	}
 	if open == 0 || machine.gathers() && !machine.enough(open) {
-		return Finish{Code: result.NoTarget, RetryAfter: returnLater, Reason: "too few services have a target"}, true
+		return Finish{Code: result.NoTarget, RetryAfter: returnLater, Reason: "too few services can be asked"}, true
 	}
 	return Finish{}, false
 }
 
+func (machine *Machine) roomFor(now time.Time, part *part) bool {
+	_, ok := machine.router.Choose(now, machine.plan.Route, part.service, nil)
+	return ok
+}
+
 // judge ends the request when its answer is whole, worth more now than later, or impossible.
 func (machine *Machine) judge(now time.Time) []Action {
 	if machine.finished {
--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -192,6 +192,9 @@
 		part.tried = nil // all have been tried, or have no room: any of them may serve in a moment
 		return machine.lookAgain(now, part)
 	}
+	if len(part.tried) == 0 {
+		machine.router.Waited(now, part.service, false)
+	}
 	part.tried = append(part.tried, pick.Target.ID)
 	part.runs++
 	part.live++
@@ -220,6 +223,7 @@
 	}
 	if !now.Before(patience) {
 		part.dead = true
+		machine.router.Waited(now, part.service, true)
 		return nil
 	}
 	part.retryAt = now.Add(roomDelay)
--- a/reel/query/query_test.go
+++ b/reel/query/query_test.go
@@ -25,7 +25,9 @@
 type router struct {
 	full   bool
 	empty  []string // services without a registered target
+	scarce []string // services whose targets have no room, as for most requests before
 	budget int
+	vain   []string // services for which a request waited in vain
 	firsts map[string]int
 	spent  int
 }
@@ -33,7 +35,7 @@
 func (router *router) Choose(_ time.Time, _ *catalogue.Route, service string, tried []string) (choice.Pick, bool) {
 	for i := range 3 {
 		id := fmt.Sprintf("%s/%d", service, i)
-		if !router.full && router.Serves(service) && !slices.Contains(tried, id) {
+		if !router.full && router.Serves(service) && !slices.Contains(router.scarce, service) && !slices.Contains(tried, id) {
 			return choice.Pick{Target: catalogue.Target{ID: id, Address: netip.AddrPort{}}}, true
 		}
 	}
@@ -42,6 +44,16 @@
 
 func (router *router) Serves(service string) bool { return !slices.Contains(router.empty, service) }
 
+func (router *router) Scarce(_ time.Time, service string) bool {
+	return slices.Contains(router.scarce, service)
+}
+
+func (router *router) Waited(_ time.Time, service string, inVain bool) {
+	if inVain {
+		router.vain = append(router.vain, service)
+	}
+}
+
 func (router *router) First(_ time.Time, service string) { router.firsts[service]++ }
 
 func (router *router) Spend(time.Time, string, extra.Purpose) bool {
@@ -326,6 +338,30 @@
 		session.wake(10)
 		session.assertEnd(result.NoTarget)
 	})
+	t.Run("shards for whose few slow targets most wait in vain are not asked, and waste nothing of the others", func(t *testing.T) {
+		session := newSession(t, gathered(10, 0.89))
+		session.router.scarce = []string{"shard-1", "shard-2"}
+		session.begin()
+		session.assertSends(0)
+		session.assertEnd(result.NoTarget)
+	})
+	t.Run("a kind that may miss them is answered as soon as the others are in", func(t *testing.T) {
+		session := newSession(t, gathered(10, 0.75))
+		session.router.scarce = []string{"shard-1", "shard-2"}
+		session.begin()
+		session.assertSends(8)
+		session.succeed(30, session.sends)
+		session.assertEnd(result.Partial)
+	})
+	t.Run("waiting in vain is noted", func(t *testing.T) {
+		session := newSession(t, single(true))
+		session.router.full = true
+		session.begin()
+		session.wake(48)
+		if !slices.Equal(session.router.vain, []string{"desk"}) {
+			t.Errorf("noted %v", session.router.vain)
+		}
+	})
 	t.Run("a caller whose time is over costs no target anything", func(t *testing.T) {
 		session := newSession(t, single(true))
 		session.take(session.machine.Begin(at(1196)))
--- a/shallotreel/door/router.go
+++ b/shallotreel/door/router.go
@@ -69,6 +69,20 @@
 	return len(router.catalogue.View().Targets(service)) > 0
 }
 
+// Scarce reports whether most requests of late waited in vain for a target of the service.
+func (router *Router) Scarce(now time.Time, service string) bool {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	return router.board.Scarce(now, service)
+}
+
+// Waited notes that a request got a target of the service, or waited for one in vain.
+func (router *Router) Waited(now time.Time, service string, inVain bool) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.board.Waited(now, service, inVain)
+}
+
 // First counts the first arrival of a request at the service.
 func (router *Router) First(now time.Time, service string) {
 	router.mutex.Lock()
