--- a/reel/query/end.go
+++ b/reel/query/end.go
@@ -18,19 +18,21 @@
 	if !now.Before(machine.last()) {
 		return machine.lateness(), true
 	}
-	open := 0
+	open, back := 0, returnLater
 	for _, part := range machine.parts {
+		lasted, scarce := machine.router.Scarce(now, part.service)
 		switch {
 		case !machine.router.Serves(part.service):
 			part.held, part.dead = noTarget, true
-		case machine.router.Scarce(now, part.service) && !machine.roomFor(now, part):
+		case scarce && !machine.roomFor(now, part):
 			part.held, part.dead = noRoom, true
+			back = max(back, min(lasted, returnMost))
 		default:
 			open++
 		}
 	}
 	if open == 0 || machine.gathers() && !machine.enough(open) {
-		return Finish{Code: result.NoTarget, RetryAfter: returnLater, Reason: "too few services can be asked"}, true
+		return Finish{Code: result.NoTarget, RetryAfter: back, Reason: "too few services can be asked"}, true
 	}
 	return Finish{}, false
 }
--- a/reel/query/messages.go
+++ b/reel/query/messages.go
@@ -24,8 +24,8 @@
 	Choose(now time.Time, route *catalogue.Route, service string, tried []string) (choice.Pick, bool)
 	// Serves reports whether any target is registered for the service, with or without room.
 	Serves(service string) bool
-	// Scarce reports whether most requests of late waited in vain for a target of the service.
-	Scarce(now time.Time, service string) bool
+	// Scarce reports whether most requests of late waited in vain for a target of the service, and for how long.
+	Scarce(now time.Time, service string) (time.Duration, bool)
 	// Waited notes that a request got a target of the service, or waited for one in vain.
 	Waited(now time.Time, service string, inVain bool)
 	First(now time.Time, service string)
--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -16,6 +16,7 @@
 	backMost       = 8                     // refusals that one part takes
 	returnSoon     = 150 * time.Millisecond
 	returnLater    = 500 * time.Millisecond // while no target is registered: processes take about that to start
+	returnMost     = 3 * time.Second        // what has lasted so long is likely to last about as long again
 	answerSlip     = 5 * time.Millisecond   // between the last moment to answer and the deadline
 )
 
--- a/reel/query/query_test.go
+++ b/reel/query/query_test.go
@@ -44,8 +44,8 @@
 
 func (router *router) Serves(service string) bool { return !slices.Contains(router.empty, service) }
 
-func (router *router) Scarce(_ time.Time, service string) bool {
-	return slices.Contains(router.scarce, service)
+func (router *router) Scarce(_ time.Time, service string) (time.Duration, bool) {
+	return 2 * time.Second, slices.Contains(router.scarce, service)
 }
 
 func (router *router) Waited(_ time.Time, service string, inVain bool) {
@@ -344,6 +344,9 @@
 		session.begin()
 		session.assertSends(0)
 		session.assertEnd(result.NoTarget)
+		if session.finish.RetryAfter != 2*time.Second {
+			t.Errorf("come back after %v, want as long as it has lasted", session.finish.RetryAfter)
+		}
 	})
 	t.Run("a kind that may miss them is answered as soon as the others are in", func(t *testing.T) {
 		session := newSession(t, gathered(10, 0.75))
--- a/shallotreel/door/router.go
+++ b/shallotreel/door/router.go
@@ -69,8 +69,8 @@
 	return len(router.catalogue.View().Targets(service)) > 0
 }
 
-// Scarce reports whether most requests of late waited in vain for a target of the service.
-func (router *Router) Scarce(now time.Time, service string) bool {
+// Scarce reports whether most requests of late waited in vain for a target of the service, and for how long.
+func (router *Router) Scarce(now time.Time, service string) (time.Duration, bool) {
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
 	return router.board.Scarce(now, service)
