Tell when a belief about a target changes; reelctl trace joins logs into one request's story

Cause: no line was written when a target was first believed slow, silent or misdirected, or a service scarce, and the parts missing from a refused or failed answer were not told with their reasons; the walk from an id to its cause was done by hand. Gaps are written for every answer that is not whole. reelctl trace ID FILE... prints the attempts of the request at each instance, what is missing and why, and what those instances came to believe of its targets and of themselves in the ten seconds before.

--- a/reel/choice/board.go
+++ b/reel/choice/board.go
@@ -67,6 +67,7 @@
 	sweptAt time.Time
 	// scarcities has the services for which a request has waited in vain.
 	scarcities map[string]*scarcity
+	beliefs    []Belief // changes that nobody has taken yet
 }
 
 type record struct {
@@ -81,6 +82,8 @@
 	window   float64 // attempts in flight, 0 while only the share of connections bounds them
 	dropAt   time.Time
 	usedAt   time.Time
+	bad      bool             // whether it was last believed to serve badly
+	silent   bool             // whether it was last believed to be silent
 	wrongAt  time.Time        // when another process answered at its address
 	wrong    catalogue.Target // as it was registered then
 }
@@ -127,7 +130,11 @@
 		if len(tried) > 0 {
 			share += secondShare
 		}
-		if score := board.score(now, route, target, share); score.less(bestScore) {
+		score := board.score(now, route, target, share)
+		if score.grade == suspect {
+			board.hear(now, target.ID, board.record(target.ID))
+		}
+		if score.less(bestScore) {
 			best, bestScore = target, score
 		}
 	}
@@ -292,6 +299,7 @@
 		}
 	case Crowded:
 	}
+	board.weigh(target.ID, record, verdict)
 }
 
 // adapt narrows the window while others' or own attempts queue at the target, and widens it when none does.
--- a/reel/choice/scarcity.go
+++ b/reel/choice/scarcity.go
@@ -36,8 +36,12 @@
 	if inVain {
 		share += scarceWeight
 	}
-	if share > scarceShare && known.share <= scarceShare {
+	switch {
+	case share > scarceShare && known.share <= scarceShare:
 		known.since = now
+		board.believe(Belief{Subject: service, What: ScarceNow, Share: share})
+	case share <= scarceShare && known.share > scarceShare:
+		board.believe(Belief{Subject: service, What: ScarceNoLonger, Share: share})
 	}
 	known.share, known.at = share, now
 }
--- a/reel/query/end.go
+++ b/reel/query/end.go
@@ -158,7 +158,11 @@
 	var gaps []Gap
 	for _, part := range machine.parts {
 		if part.answer == nil {
-			gaps = append(gaps, Gap{part.service, part.tried, now.Sub(part.lastSent), part.dead, part.held})
+			gap := Gap{part.service, part.tried, 0, part.dead, part.held}
+			if !part.lastSent.IsZero() {
+				gap.Waited = now.Sub(part.lastSent)
+			}
+			gaps = append(gaps, gap)
 		}
 	}
 	return gaps
@@ -168,7 +172,7 @@
 type Gap struct {
 	Service string        `json:"service"`
 	Tried   []string      `json:"tried"`
-	Waited  time.Duration `json:"waited"`
+	Waited  time.Duration `json:"waited"` // since the newest attempt, 0 without one
 	GaveUp  bool          `json:"gave_up"`
 	Held    string        `json:"held,omitempty"` // why no other target was asked
 }
--- a/reelctl/main.go
+++ b/reelctl/main.go
@@ -30,6 +30,7 @@
 	Status  statusCommand  `command:"status" description:"show all instances, and who did not answer"`
 	Explain explainCommand `command:"explain" description:"show where a request would go, and why"`
 	Drain   drainCommand   `command:"drain" description:"make an instance leave, finish its work and stop"`
+	Trace   traceCommand   `command:"trace" description:"tell one request's story from the logs of instances"`
 }
 
 var global options
@@ -74,4 +75,5 @@
   reelctl status --instance 127.0.0.1:8080
   reelctl explain --instance 127.0.0.1:8080 --kind chef-planner --query "leftover injera"
   reelctl drain --instance 127.0.0.1:8080
+  reelctl trace 5f1c0a77 front-1.log front-2.log
 Exit codes: 0 yes, 1 the answer is no, 2 wrong usage, 3 no instance or file could be read.`
--- /dev/null
+++ b/reelctl/story/story_test.go
@@ -0,0 +1,62 @@
+package story
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write the golden file anew")
+
+func read(t *testing.T, names ...string) []*Line {
+	t.Helper()
+	var lines []*Line
+	for _, name := range names {
+		file, err := os.Open("testdata/" + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Read(file, strings.TrimSuffix(name, ".log"))
+		file.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines = append(lines, got...)
+	}
+	return lines
+}
+
+func TestTell(t *testing.T) {
+	lines := read(t, "one.log", "two.log")
+	t.Run("as the golden file", func(t *testing.T) {
+		story, err := Tell(lines, "ab12")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var text bytes.Buffer
+		if err := story.Print(&text); err != nil {
+			t.Fatal(err)
+		}
+		if *update {
+			if err := os.WriteFile("testdata/story.txt", text.Bytes(), 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+		want, err := os.ReadFile("testdata/story.txt")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := text.Bytes(); !slices.Equal(got, want) {
+			t.Errorf("got\n%s\nwant\n%s", got, want)
+		}
+	})
+	t.Run("a request that no line names", func(t *testing.T) {
+		if _, err := Tell(lines, "none"); !errors.Is(err, ErrUnknown) {
+			t.Errorf("error %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/reelctl/trace.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"shallotreel.example/reelctl/story"
+)
+
+type traceCommand struct {
+	Args struct {
+		Request string   `positional-arg-name:"ID" required:"yes" description:"id of the request"`
+		Files   []string `positional-arg-name:"FILE" required:"1" description:"log of an instance"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints what the logs tell of the request.
+func (command *traceCommand) Execute([]string) error {
+	var lines []*story.Line
+	for _, name := range command.Args.Files {
+		read, err := readLog(name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, read...)
+	}
+	told, err := story.Tell(lines, command.Args.Request)
+	if errors.Is(err, story.ErrUnknown) {
+		_, _ = os.Stderr.WriteString("reelctl: " + err.Error() + "\n") // the exit code says it too
+		return errAnswerIsNo
+	}
+	if err != nil {
+		return err
+	}
+	if global.JSON {
+		return printJSON(told)
+	}
+	return told.Print(os.Stdout)
+}
+
+func readLog(name string) ([]*story.Line, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	defer file.Close()
+	lines, err := story.Read(file, strings.TrimSuffix(filepath.Base(name), filepath.Ext(name)))
+	if err != nil {
+		return nil, errors.Wrap(err, name)
+	}
+	return lines, nil
+}
--- a/shallotreel/door/router.go
+++ b/shallotreel/door/router.go
@@ -29,12 +29,13 @@
 	turns     map[string]*turns
 	patience  *patience.Learner
 	serial    uint64
-	most      int // instances known at any time, among which the slack is divided
+	believed  func(choice.Belief) // told of each change of a belief
+	most      int                 // instances known at any time, among which the slack is divided
 }
 
-// NewRouter returns a router that has seen no traffic.
-func NewRouter(catalogue Catalogue, pool *line.Pool, limits extra.Limits, home string, random *rand.Rand) *Router {
-	router := &Router{catalogue: catalogue, pool: pool, limits: limits, board: choice.New(random),
+// NewRouter returns a router that has seen no traffic; believed is told of each change of a belief.
+func NewRouter(catalogue Catalogue, pool *line.Pool, limits extra.Limits, home string, random *rand.Rand, believed func(choice.Belief)) *Router {
+	router := &Router{catalogue: catalogue, pool: pool, limits: limits, board: choice.New(random), believed: believed,
 		budgets: map[string]*extra.Budget{}, turns: map[string]*turns{}, patience: patience.New(), most: 1}
 	router.board.SetFleet(choice.Fleet{Home: home, Instances: map[string]int{home: 1}, Total: 1})
 	return router
@@ -59,7 +60,7 @@
 func (router *Router) Choose(now time.Time, route *catalogue.Route, service string, tried []string) (choice.Pick, bool) {
 	view := router.catalogue.View()
 	router.mutex.Lock()
-	defer router.mutex.Unlock()
+	defer router.unlock()
 	room := func(target catalogue.Target) bool { return router.pool.Room(now, target.Address) }
 	return router.board.Choose(now, route, view.Targets(service), view.Configuration.Services[service], tried, room)
 }
@@ -79,7 +80,7 @@
 // Waited notes that a request got a target of the service, or waited for one in vain.
 func (router *Router) Waited(now time.Time, service string, inVain bool) {
 	router.mutex.Lock()
-	defer router.mutex.Unlock()
+	defer router.unlock()
 	router.board.Waited(now, service, inVain)
 }
 
@@ -129,10 +130,19 @@
 // ended notes what an attempt showed of its target.
 func (router *Router) ended(now time.Time, target catalogue.Target, serial uint64, verdict choice.Verdict, load *choice.Load) {
 	router.mutex.Lock()
-	defer router.mutex.Unlock()
+	defer router.unlock()
 	router.board.Ended(now, target, serial, verdict, load)
 }
 
+// unlock lets others use the board and tells what it has come to believe.
+func (router *Router) unlock() {
+	beliefs := router.board.TakeBeliefs()
+	router.mutex.Unlock()
+	for _, belief := range beliefs {
+		router.believed(belief)
+	}
+}
+
 // Sweep forgets what has not been used for long.
 func (router *Router) Sweep(now time.Time) {
 	router.mutex.Lock()
--- a/shallotreel/door/run.go
+++ b/shallotreel/door/run.go
@@ -40,7 +40,7 @@
 	if finish == nil {
 		finish = run.wait(ctx)
 	}
-	if finish.Code == result.Partial {
+	if finish.Code != result.OK && finish.Code != result.Canceled {
 		run.record.Gaps = run.machine.Missing(time.Now())
 	}
 	run.abandon(finish.Code == result.Canceled)
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -23,6 +23,7 @@
 
 	"shallotreel.example/platform"
 	"shallotreel.example/reel/catalogue"
+	"shallotreel.example/reel/choice"
 	"shallotreel.example/reel/extra"
 	"shallotreel.example/reel/member"
 	"shallotreel.example/shallotreel/copies"
@@ -103,7 +104,7 @@
 	}
 	config := front.settings
 	limits := extra.Limits{Ratio: config.Extra.Ratio, Window: config.Extra.Window.D(), Slack: config.Extra.Slack}
-	front.router = door.NewRouter(front, front.pool, limits, config.DataCentre, random())
+	front.router = door.NewRouter(front, front.pool, limits, config.DataCentre, random(), front.believed)
 	self := member.Member{Name: config.Name, DataCentre: config.DataCentre, Caller: config.CallerAddress,
 		Peer: config.PeerAddress, Incarnation: uint64(time.Now().UnixMilli()), State: member.Joining}
 	var err error
@@ -171,6 +172,13 @@
 // View returns what requests are routed by.
 func (front *Front) View() *catalogue.View { return front.feed.View() }
 
+// believed writes a change of what is believed of a target or a service.
+func (front *Front) believed(belief choice.Belief) {
+	front.log.WithFields(logrus.Fields{"subject": belief.Subject, "belief": belief.What, "factor": belief.Factor,
+		"failures": belief.Failures, "silence_ms": belief.Silence.Milliseconds(), "in_vain": belief.Share,
+		"targets_serial": front.feed.View().Serial}).Info("belief changed")
+}
+
 // prepare tells the others that this instance takes work, now that it has a configuration.
 func (front *Front) prepare() {
 	front.ready.Store(true)
