--- /dev/null
+++ b/shallotreel/door/bench_test.go
@@ -0,0 +1,78 @@
+package door
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"shallotreel.example/reel/catalogue"
+)
+
+// answerAll answers each request on the listener with a small signed result.
+func answerAll(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			for {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp\r\nServer-Load: 1,0,4\r\nContent-Length: 64\r\n\r\n%064d",
+					request.Header.Get("Request-Id"), 7)
+				if err != nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// BenchmarkGathered counts the work and the allocations of one gathered request over ten shards of three targets.
+func BenchmarkGathered(b *testing.B) {
+	route := catalogue.Route{Name: "r", Host: "h.example", Prefix: "/x/", Attempts: 2, Idempotent: true, Top: 20,
+		LeastShare: 0.89, Timeout: time.Second, Goal: 200 * time.Millisecond}
+	book := catalogue.New()
+	var services []catalogue.Service
+	for shard := range 10 {
+		name := fmt.Sprintf("shard-%d", shard)
+		route.Shards = append(route.Shards, name)
+		services = append(services, catalogue.Service{Name: name, MaxConnections: 40})
+		for _, centre := range []string{"a", "b", "c"} {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.Cleanup(func() { listener.Close() })
+			go answerAll(listener)
+			book.Register(catalogue.Target{ID: name + centre, Service: name, DataCentre: centre, Slots: 4,
+				Address: netip.MustParseAddrPort(listener.Addr().String())})
+		}
+	}
+	book.Configure(catalogue.NewConfiguration(1, []catalogue.Route{route}, services, catalogue.Limits{}))
+	fixture := &fixture{records: &records{}}
+	fixture.serve(book)
+	b.ReportAllocs()
+	for b.Loop() {
+		request := httptest.NewRequest(http.MethodGet, "/x/y", strings.NewReader(""))
+		request.Host, request.RequestURI = "h.example", "/x/y"
+		request.Header.Set("Request-Id", "one")
+		request.Header.Set("Deadline-Ms", "900")
+		recorder := httptest.NewRecorder()
+		fixture.door.ServeHTTP(recorder, request)
+		if recorder.Code != http.StatusOK {
+			b.Fatalf("status %d", recorder.Code)
+		}
+	}
+}
