--- a/reel/extra/budget.go
+++ b/reel/extra/budget.go
@@ -43,6 +43,15 @@
 	return &Budget{limits: limits, width: limits.Window / buckets, start: now}
 }
 
+// Limit changes the bounds. After a change of the window only what arrives from then on counts as a first arrival,
+// so that the bound is kept in windows that begin before it.
+func (budget *Budget) Limit(limits Limits) {
+	if limits.Window != budget.limits.Window {
+		*budget = Budget{width: limits.Window / buckets, start: budget.start}
+	}
+	budget.limits = limits
+}
+
 // First counts the first arrival of a request.
 func (budget *Budget) First(now time.Time) {
 	budget.roll(now)
--- a/reel/extra/budget_test.go
+++ b/reel/extra/budget_test.go
@@ -82,3 +82,37 @@
 		t.Errorf("%d and %d arrivals are counted after the window", firsts, extras)
 	}
 }
+
+func TestLimit(t *testing.T) {
+	spend := func(budget *Budget, now time.Time) int {
+		spent := 0
+		for budget.Spend(now, Retry, 9) {
+			spent++
+		}
+		return spent
+	}
+	fill := func() (*Budget, time.Time) {
+		budget := NewBudget(epoch, limits)
+		now := epoch.Add(5 * time.Second)
+		for range 100 {
+			budget.First(now)
+		}
+		return budget, now
+	}
+	for _, test := range []struct {
+		name    string
+		changed Limits
+		most    int
+	}{
+		{"a lower ratio holds at once", Limits{Ratio: 0.1, Window: limits.Window, Slack: limits.Slack}, 11},
+		{"another window begins without requests", Limits{Ratio: 0.2, Window: 5 * time.Second, Slack: limits.Slack}, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			budget, now := fill()
+			budget.Limit(test.changed)
+			if got := spend(budget, now); got > test.most || got == 0 {
+				t.Errorf("%d extra arrivals, at most %d", got, test.most)
+			}
+		})
+	}
+}
--- a/shallotreel/copies/copies.go
+++ b/shallotreel/copies/copies.go
@@ -55,10 +55,20 @@
 	if err := server.RegisterName("Copies", &Service{source}); err != nil {
 		return nil, errors.Wrap(err, "register service")
 	}
-	go server.Accept(listener)
+	go accept(listener, server)
 	return &Server{listener}, nil
 }
 
+func accept(listener net.Listener, server *rpc.Server) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return // closed
+		}
+		go server.ServeConn(conn)
+	}
+}
+
 // Close stops taking connections.
 func (server *Server) Close() { server.listener.Close() }
 
--- a/shallotreel/door/router.go
+++ b/shallotreel/door/router.go
@@ -105,6 +105,19 @@
 	return router.board.Usual(route.Name, share, route.Goal/3)
 }
 
+// Limit changes the bounds on extra arrivals.
+func (router *Router) Limit(limits extra.Limits) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	if limits == router.limits {
+		return
+	}
+	router.limits = limits
+	for _, budget := range router.budgets {
+		budget.Limit(limits)
+	}
+}
+
 // Serial numbers an attempt.
 func (router *Router) Serial() uint64 {
 	router.mutex.Lock()
--- a/shallotreel/feed/feed_test.go
+++ b/shallotreel/feed/feed_test.go
@@ -140,8 +140,8 @@
 	t.Helper()
 	store = storetest.Start(t)
 	store.Configure(t, 1)
-	store.Register(t, "one", 1, false)
-	store.Register(t, "two", 1, false)
+	store.Register(t, storetest.Target{ID: "one", Seq: 1})
+	store.Register(t, storetest.Target{ID: "two", Seq: 1})
 	address, cut := relay(t, store.Address())
 	reader = start(t, address, &readers{})
 	await(t, "the reader's start", func() bool { return reader.version() == 1 && reader.targets() == 2 })
@@ -156,7 +156,7 @@
 func TestReaderCut(t *testing.T) {
 	t.Run("a drain is heard without it", func(t *testing.T) {
 		store, reader, other := pair(t)
-		store.Register(t, "one", 2, true)
+		store.Register(t, storetest.Target{ID: "one", Seq: 2, Leaving: true})
 		await(t, "the drain", func() bool { return other.targets() == 1 })
 		if reader.targets() != 2 {
 			t.Error("the reader was not cut")
@@ -172,7 +172,7 @@
 		store.Configure(t, 2)
 		await(t, "the new version", func() bool { return other.version() == 2 })
 		other.root.Send(other.pid, told{reader.Since(copies.Query{})})
-		store.Register(t, "two", 2, true)
+		store.Register(t, storetest.Target{ID: "two", Seq: 2, Leaving: true})
 		await(t, "the drain", func() bool { return other.targets() == 1 })
 		if other.version() != 2 || reader.version() != 1 {
 			t.Errorf("version %d, the reader's %d", other.version(), reader.version())
@@ -183,7 +183,7 @@
 func TestStartWithoutStore(t *testing.T) {
 	store := storetest.Start(t)
 	store.Configure(t, 3)
-	store.Register(t, "one", 1, false)
+	store.Register(t, storetest.Target{ID: "one", Seq: 1})
 	old := start(t, store.Address(), &readers{})
 	await(t, "the first start", func() bool { return old.version() == 3 && old.targets() == 1 })
 	store.Cut(true)
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -17,6 +17,7 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
@@ -24,7 +25,6 @@
 	"shallotreel.example/platform"
 	"shallotreel.example/reel/catalogue"
 	"shallotreel.example/reel/choice"
-	"shallotreel.example/reel/extra"
 	"shallotreel.example/reel/member"
 	"shallotreel.example/shallotreel/copies"
 	"shallotreel.example/shallotreel/door"
@@ -50,7 +50,7 @@
 
 // Front is one running instance.
 type Front struct {
-	settings settings.Front
+	settings atomic.Pointer[settings.Front]
 	log      *logrus.Logger
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -71,10 +71,11 @@
 }
 
 // Start opens the addresses of the settings and starts all parts.
-func Start(settings settings.Front, logger *logrus.Logger) (*Front, error) {
+func Start(config settings.Front, logger *logrus.Logger) (*Front, error) {
 	debug.SetGCPercent(gcPercent)
 	ctx, cancel := context.WithCancel(context.Background())
-	front := &Front{settings: settings, log: logger, ctx: ctx, cancel: cancel, pool: line.NewPool()}
+	front := &Front{log: logger, ctx: ctx, cancel: cancel, pool: line.NewPool()}
+	front.settings.Store(&config)
 	front.openMetrics()
 	front.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 		return slog.New(slog.DiscardHandler)
@@ -83,13 +84,14 @@
 		front.close()
 		return nil, err
 	}
-	logger.WithFields(logrus.Fields{"name": settings.Name, "data_centre": settings.DataCentre,
-		"callers": settings.CallerAddress.String()}).Info("started")
+	logger.WithFields(logrus.Fields{"name": config.Name, "data_centre": config.DataCentre,
+		"callers": config.CallerAddress.String()}).Info("started")
 	return front, nil
 }
 
 func (front *Front) openMetrics() {
-	front.reporter = tallyprom.NewReporter(tallyprom.Options{})
+	registry := prometheus.NewRegistry() // of its own, since a process may embed several instances
+	front.reporter = tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
 	front.scope, front.closer = tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "shallotreel", CachedReporter: front.reporter, Separator: "_",
 		SanitizeOptions: &tallyprom.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
@@ -102,9 +104,8 @@
 	random := func() *rand.Rand {
 		return rand.New(rand.NewPCG(binary.BigEndian.Uint64(seed[:]), binary.BigEndian.Uint64(seed[8:])))
 	}
-	config := front.settings
-	limits := extra.Limits{Ratio: config.Extra.Ratio, Window: config.Extra.Window.D(), Slack: config.Extra.Slack}
-	front.router = door.NewRouter(front, front.pool, limits, config.DataCentre, random(), front.believed)
+	config := front.settings.Load()
+	front.router = door.NewRouter(front, front.pool, config.Extra.Limits(), config.DataCentre, random(), front.believed)
 	self := member.Member{Name: config.Name, DataCentre: config.DataCentre, Caller: config.CallerAddress,
 		Peer: config.PeerAddress, Incarnation: uint64(time.Now().UnixMilli()), State: member.Joining}
 	var err error
@@ -195,10 +196,18 @@
 	front.scope.Gauge("running").Update(float64(front.door.Running()))
 }
 
-// Reload takes the settings that may change while the process runs.
+// Reload takes the settings that may change while the process runs: seeds, bounds and times. Others, such as
+// addresses, stay until a new process takes them.
 func (front *Front) Reload(changed settings.Front) {
+	old := front.settings.Load()
+	if fixed := changed.Fixed(*old); len(fixed) > 0 {
+		front.log.WithField("fields", fixed).Warn("these settings take force with a new process only")
+	}
+	front.settings.Store(&changed)
 	front.roster.Reseed(changed.Seeds)
-	front.log.WithField("seeds", changed.Seeds).Info("settings reloaded")
+	front.router.Limit(changed.Extra.Limits())
+	front.log.WithFields(logrus.Fields{"seeds": changed.Seeds, "extra": changed.Extra, "grace": changed.Grace.D().String(),
+		"keep_most": changed.KeepMost.D().String()}).Info("settings reloaded")
 }
 
 // Stop leaves the fleet, serves while callers may still hold this address, finishes what runs and closes.
@@ -208,9 +217,10 @@
 	front.stopping.Store(true)
 	front.door.Close()
 	front.roster.Leave()
-	keep := min(staleFactor*addressKeep, front.settings.Grace.D()/2)
+	grace := front.settings.Load().Grace.D()
+	keep := min(staleFactor*addressKeep, grace/2)
 	time.Sleep(keep)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(front.settings.Grace.D()-endMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-endMargin))
 	defer cancel()
 	if err := front.callers.Shutdown(ctx); err != nil {
 		front.log.WithError(err).WithField("running", front.door.Running()).Warn("callers were still served at the stop")
--- a/shallotreel/settings/front.go
+++ b/shallotreel/settings/front.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"shallotreel.example/reel/document"
+	"shallotreel.example/reel/extra"
 )
 
 // Front is the settings of an instance that serves callers on the users' platform.
@@ -33,6 +34,35 @@
 	Slack  float64           `json:"slack" validate:"min=0"`
 }
 
+// Limits returns the bound as the library takes it.
+func (bound Extra) Limits() extra.Limits {
+	return extra.Limits{Ratio: bound.Ratio, Window: bound.Window.D(), Slack: bound.Slack}
+}
+
+// Fixed names the fields that differ from the running ones and cannot change while the process runs.
+func (front Front) Fixed(running Front) []string {
+	var fields []string
+	for _, field := range []struct {
+		name string
+		same bool
+	}{
+		{"name", front.Name == running.Name},
+		{"data_centre", front.DataCentre == running.DataCentre},
+		{"caller_address", front.CallerAddress == running.CallerAddress},
+		{"ready_address", front.ReadyAddress == running.ReadyAddress},
+		{"resolve_address", front.ResolveAddress == running.ResolveAddress},
+		{"peer_address", front.PeerAddress == running.PeerAddress},
+		{"metrics_address", front.MetricsAddress == running.MetricsAddress},
+		{"store_address", front.StoreAddress == running.StoreAddress},
+		{"log_level", front.LogLevel == running.LogLevel},
+	} {
+		if !field.same {
+			fields = append(fields, field.name)
+		}
+	}
+	return fields
+}
+
 // ReadFront reads and checks a settings file.
 func ReadFront(path string) (Front, error) {
 	data, err := os.ReadFile(path)
