A refusal says nothing of an instance that broke off before; checks of life wait as long as the fleet is slow

Cause: the caller's client returned a refusal by a second instance as "not run" although an instance asked before had broken off and may have run the request (ran_after_refused). Second cause, of broken connections: a check of life that took more than 250 ms made the client cut its own request and send it elsewhere.

--- a/reel/caller/client.go
+++ b/reel/caller/client.go
@@ -24,7 +24,6 @@
 	addressTimeout = 300 * time.Millisecond
 	idleConns      = 256
 	maxTries       = 4
-	lifePeriod     = 250 * time.Millisecond
 	answerMargin   = 20 * time.Millisecond // for the way back of the last answer
 )
 
@@ -45,6 +44,7 @@
 	until      time.Time
 	failed     map[netip.AddrPort]bool
 	observe    func(instance netip.AddrPort, err error)
+	life       life
 }
 
 // Option changes a client under construction.
@@ -216,16 +216,16 @@
 		if answer.Addresses != nil {
 			client.keep(*answer.Addresses)
 		}
-		if answer.Ran != result.RanNo || !elsewhere(answer.Code) {
+		if answer.Ran == result.RanNo && mayHaveRun {
+			answer.Ran = result.RanUnknown // at an instance that was asked before
+		}
+		if answer.Ran == result.RanYes || !elsewhere(answer.Code) {
 			return answer, nil
 		}
 		client.fail(instances[0].Address)
 		refused = &answer
 	}
 	if refused != nil {
-		if mayHaveRun {
-			refused.Ran = result.RanUnknown
-		}
 		return *refused, nil
 	}
 	return Answer{}, errors.Wrap(last, "send request")
@@ -271,17 +271,19 @@
 }
 
 func (client *Client) checkLife(ctx context.Context, instance netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(ctx, lifePeriod)
+	ctx, cancel := context.WithTimeout(ctx, client.life.patience())
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+instance.String()+LivePath, nil)
 	if err != nil {
 		return errors.Wrap(err, "build request")
 	}
+	begun := time.Now()
 	response, err := client.http.Do(request)
 	if err != nil {
 		return err
 	}
 	response.Body.Close()
+	client.life.learn(time.Since(begun))
 	return nil
 }
 
