--- a/reel/admit/main_test.go
+++ b/reel/admit/main_test.go
@@ -1,16 +1,9 @@
 package admit
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"shallotreel.example/reel/drawn"
 )
 
-// TestMain draws the same sessions in each run; -rapid.seed draws others, and -rapid.checks more.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { drawn.Main(m, 0) }
--- a/shallotreel/line/drawn_test.go
+++ b/shallotreel/line/drawn_test.go
@@ -2,27 +2,20 @@
 
 import (
 	"bufio"
-	"flag"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"shallotreel.example/reel/drawn"
 )
 
-// TestMain draws the same sessions in each run; -rapid.seed draws others, and -rapid.checks more.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { drawn.Main(m, 0) }
 
 // What a target does with a request.
 const (
