A starting instance does not wait for its hanging call when a peer has heard of the store

One instance's second call met the store's return at 1.49 s; the calls of the other eight had begun in the outage and hung until 2.3 to 2.6 s, and only then was a peer asked. Change: while nothing is known, serving peers are asked each 100 ms beside the own call; only knowledge as fresh as a reader's may be taken so. Old knowledge still needs the own call's failure. TestStartBesideSilentStore fails first (it waited for the end of its own call).

--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -89,6 +89,7 @@
 	feed.pid = feed.root.Spawn(actor.PropsFromFunc(feed.receive))
 	go feed.clock()
 	go feed.follow()
+	go feed.prime()
 }
 
 // View returns what requests are routed by.
@@ -142,7 +143,7 @@
 	case lent:
 		if feed.catalogue.Configuration() == nil {
 			feed.note(feed.catalogue.Apply(now, message.reply.Delta, message.reply.Whole)...)
-			feed.noteConfiguration("peer without the store", message.reply.Store)
+			feed.noteConfiguration("peer before the store", message.reply.Store)
 		}
 	case since:
 		actorContext.Respond(feed.catalogue.Since(message.serial))
--- a/shallotreel/feed/feed_test.go
+++ b/shallotreel/feed/feed_test.go
@@ -193,3 +193,33 @@
 	store.Cut(false)
 	await(t, "the store's own word", func() bool { return late.version() == 4 })
 }
+
+// TestStartBesideSilentStore starts an instance whose call to the store hangs while a peer has heard of the store.
+func TestStartBesideSilentStore(t *testing.T) {
+	store := storetest.Start(t)
+	store.Configure(t, 3)
+	store.Register(t, storetest.Target{ID: "one", Seq: 1})
+	old := start(t, store.Address(), &readers{})
+	await(t, "the peer's start", func() bool { return old.version() == 3 && old.targets() == 1 })
+	store.Register(t, storetest.Target{ID: "one", Seq: 2})
+	await(t, "the peer's news of the store", func() bool { return old.age() < ageMost })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	var given atomic.Bool // whether the instance gave up its call
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, conn) // ends when the caller closes
+		given.Store(true)
+	}()
+	late := start(t, netip.MustParseAddrPort(listener.Addr().String()), &readers{serving: []netip.AddrPort{old.address}})
+	await(t, "a start on a peer's knowledge", func() bool { return late.version() == 3 && late.targets() == 1 })
+	if given.Load() {
+		t.Error("it waited for the end of its own call")
+	}
+}
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/netip"
 	"time"
 
@@ -13,12 +14,14 @@
 )
 
 const (
-	peerHold   = 500 * time.Millisecond  // for which a peer may wait for a change
-	peerMost   = 300 * time.Millisecond  // beyond it
-	peerPause  = 50 * time.Millisecond   // after a change, so that one answer brings several
-	ageMost    = 1800 * time.Millisecond // of a peer's knowledge: changes must be in force within three seconds
-	directTerm = 2 * time.Second         // for which the store is read after a peer failed
-	askTimeout = time.Second
+	peerHold    = 500 * time.Millisecond  // for which a peer may wait for a change
+	peerMost    = 300 * time.Millisecond  // beyond it
+	peerPause   = 50 * time.Millisecond   // after a change, so that one answer brings several
+	ageMost     = 1800 * time.Millisecond // of a peer's knowledge: changes must be in force within three seconds
+	ageAny      = math.MaxInt64           // any knowledge is better than none once the store's call has failed
+	primePeriod = 100 * time.Millisecond  // between two looks for a serving peer by an instance that knows nothing
+	directTerm  = 2 * time.Second         // for which the store is read after a peer failed
+	askTimeout  = time.Second
 )
 
 var errPeerBehind = errors.New("the peer's knowledge is old")
@@ -47,14 +50,25 @@
 		}
 		feed.askStore(place)
 		if !place.listed {
-			feed.borrow(client)
+			feed.borrow(client, ageAny)
 		}
 	}
 }
 
-// borrow takes what a peer that serves requests knows, however old, while this instance knows nothing and cannot read
-// the store; what it then reads for itself replaces it.
-func (feed *Feed) borrow(client *copies.Client) {
+// prime takes a serving peer's knowledge while this instance knows nothing and its own call to the store has not
+// ended: a store that was away answers new calls sooner than those that met its outage.
+func (feed *Feed) prime() {
+	client := &copies.Client{}
+	defer client.Close()
+	for feed.ctx.Err() == nil && feed.View().Configuration == nil {
+		feed.sleep(primePeriod)
+		feed.borrow(client, ageMost)
+	}
+}
+
+// borrow takes what a peer that serves requests knows, unless it is older than may be, while this instance knows
+// nothing; what it then reads for itself replaces it.
+func (feed *Feed) borrow(client *copies.Client, oldest time.Duration) {
 	if feed.View().Configuration != nil {
 		return
 	}
@@ -64,11 +78,11 @@
 			feed.log.WithError(err).WithField("peer", peer.String()).Warn("a peer does not tell what it knows")
 			continue
 		}
-		if reply.Delta.Version == 0 {
+		if reply.Delta.Version == 0 || reply.Age > oldest {
 			continue
 		}
 		feed.log.WithFields(logrus.Fields{"peer": peer.String(), "age_ms": reply.Age.Milliseconds(),
-			"version": reply.Delta.Version}).Warn("starting on a peer's knowledge, the store cannot be read")
+			"version": reply.Delta.Version}).Warn("starting on a peer's knowledge, the store has not answered")
 		feed.root.Send(feed.pid, lent{reply})
 		return
 	}
