--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -19,6 +19,7 @@
 	tickPeriod   = 250 * time.Millisecond
 	watchPause   = 200 * time.Millisecond  // between two watches, so that one call brings several changes
 	watchWait    = 1300 * time.Millisecond // an idle watch that ends shows that the store can still be reached
+	catchUpWait  = 10 * time.Millisecond   // of the first watch after a cheap reading: peers may ask soon
 	callMost     = time.Second             // beyond what a watch waits by itself
 	backoffLeast = 100 * time.Millisecond
 	backoffMost  = 800 * time.Millisecond
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -30,6 +30,7 @@
 type place struct {
 	revision uint64 // of the store
 	listed   bool   // whether everything was read once
+	behind   bool   // whether only a cheap reading was made, which may be seconds old
 	lost     bool   // whether the history after an older reading was gone
 	process  uint64 // of the peer that gave the serial
 	serial   uint64
@@ -122,10 +123,16 @@
 		place.revision, err = feed.list(!place.lost)
 		place.listed = err == nil
 		if place.listed && !place.lost {
+			place.behind = true
 			return // a watch brings what has changed since the cheap reading
 		}
 	} else {
-		place.revision, err = feed.watch(place.revision)
+		wait := watchWait
+		if place.behind {
+			wait = catchUpWait
+		}
+		place.revision, err = feed.watch(place.revision, wait)
+		place.behind = place.behind && err != nil
 	}
 	switch {
 	case err == nil:
@@ -165,9 +172,9 @@
 	}
 }
 
-func (feed *Feed) watch(revision uint64) (uint64, error) {
+func (feed *Feed) watch(revision uint64, wait time.Duration) (uint64, error) {
 	reading, err := feed.call(watchWait+callMost, func(ctx context.Context) (platform.Reading, error) {
-		return feed.store.Watch(ctx, revision, watchWait)
+		return feed.store.Watch(ctx, revision, wait)
 	})
 	if err != nil {
 		return revision, err
