--- a/reelctl/story/story_test.go
+++ b/reelctl/story/story_test.go
@@ -20,7 +20,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		got, err := Read(file, strings.TrimSuffix(name, ".log"))
+		got, err := Read(file, strings.TrimSuffix(name, ".jsonl"))
 		file.Close()
 		if err != nil {
 			t.Fatal(err)
@@ -31,7 +31,7 @@
 }
 
 func TestTell(t *testing.T) {
-	lines := read(t, "one.log", "two.log")
+	lines := read(t, "one.jsonl", "two.jsonl")
 	t.Run("as the golden file", func(t *testing.T) {
 		story, err := Tell(lines, "ab12")
 		if err != nil {
