Marks: no quarantine of a popular harmless request in an overload

Cause, traced by the log lines that the test now prints for a harmless request that was refused: beside three crashing requests on a machine that served 1 of 355 others, the popular harmless request was waiting at each target that crashed (attempts 11, 63, 66, 453, 975 ms old). It collected three crashes, each of the crashing requests two. By the number of crashes it was the likeliest cause, so it was quarantined, and it explained the crashes of the real ones, which then needed more of them.

Change: a mark records whether a request was ever answered by all its services. The crashes of such a request do not count where a request that never was is running too, and never explain the crashes of one that never was.

--- a/reel/quarantine/blame.go
+++ b/reel/quarantine/blame.go
@@ -11,6 +11,9 @@
 	// settleTime is how long MaxLosses crashes must stand before they quarantine a request, so that instances can learn
 	// that another request was running at both crashes too.
 	settleTime = 150 * time.Millisecond
+	// completeSettleTime is the same for a request that was answered by all its services before, for any number of crashes.
+	// It is longer because such a request is hardly the cause, and under load the marks of others arrive late.
+	completeSettleTime = time.Second
 )
 
 // process identifies the process of a target that crashed.
@@ -44,7 +47,7 @@
 }
 
 // quarantines reports whether the losses of the mark quarantine its fingerprint. Of the requests that were running on a
-// crashed target at most one is the cause, so a loss does not count that is also one of a request with more crashes. One
+// crashed target at most one is the cause, so a loss does not count that is also one of a likelier request. One
 // crash more than MaxLosses is required if there is a doubt, two if another request was running at all of the crashes, and
 // only a crash that was noticed at once counts for a request that ran before.
 func (tracker *Tracker) quarantines(now time.Time, mark Mark, losses []Loss) bool {
@@ -63,23 +66,38 @@
 		limit++
 	}
 	counted := slices.DeleteFunc(slices.Clone(losses), func(loss Loss) bool {
-		return mark.Proven && loss.Silent || tracker.isExplained(mark.Fingerprint, loss, crashes)
+		return mark.Proven && loss.Silent || tracker.isExplained(mark, loss, crashes)
 	})
-	return countWaves(counted) >= limit && (crashes > MaxLosses || tracker.isSettled(now, mark.Fingerprint, losses))
+	if countWaves(counted) < limit {
+		return false
+	}
+	if mark.Complete {
+		return tracker.isSettled(now, mark.Fingerprint, losses, completeSettleTime)
+	}
+	return crashes > MaxLosses || tracker.isSettled(now, mark.Fingerprint, losses, settleTime)
 }
 
-// isSettled reports whether the losses have stood for settleTime, here or at the instance that recorded them.
-func (tracker *Tracker) isSettled(now time.Time, fingerprint Fingerprint, losses []Loss) bool {
-	if now.Sub(tracker.lostAt[fingerprint]) >= settleTime {
+// isSettled reports whether the losses have stood for the duration, here or at the instance that recorded them.
+func (tracker *Tracker) isSettled(now time.Time, fingerprint Fingerprint, losses []Loss, duration time.Duration) bool {
+	if now.Sub(tracker.lostAt[fingerprint]) >= duration {
 		return true
 	}
-	return !slices.ContainsFunc(losses, func(loss Loss) bool { return now.Sub(loss.At) < settleTime })
+	return !slices.ContainsFunc(losses, func(loss Loss) bool { return now.Sub(loss.At) < duration })
 }
 
-// isExplained reports whether a request with more than the given number of crashes was running at the crash too.
-func (tracker *Tracker) isExplained(fingerprint Fingerprint, loss Loss, crashes int) bool {
-	return slices.ContainsFunc(tracker.lost[loss.process()], func(other Fingerprint) bool {
-		return other != fingerprint && tracker.marks[other].Crashes() > crashes
+// isExplained reports whether a likelier cause was running at the crash too: a request with more than the given number
+// of crashes. One that was never answered by all its services is likelier than one that was, whatever their numbers: in
+// an overload a popular harmless request runs on each target that crashes.
+func (tracker *Tracker) isExplained(mark Mark, loss Loss, crashes int) bool {
+	return slices.ContainsFunc(tracker.lost[loss.process()], func(fingerprint Fingerprint) bool {
+		other := tracker.marks[fingerprint]
+		switch {
+		case fingerprint == mark.Fingerprint:
+			return false
+		case other.Complete != mark.Complete:
+			return mark.Complete
+		}
+		return other.Crashes() > crashes
 	})
 }
 
@@ -88,12 +106,12 @@
 	return slices.ContainsFunc(losses, func(loss Loss) bool { return loss.Silent })
 }
 
-// hasRival reports whether another request was running at all of the crashes too.
+// hasRival reports whether another request that can be the cause was running at all of the crashes too.
 func (tracker *Tracker) hasRival(now time.Time, mark Mark, losses []Loss) bool {
 	shared := map[Fingerprint][]Loss{}
 	for _, loss := range losses {
 		for _, other := range tracker.lost[loss.process()] {
-			if other != mark.Fingerprint {
+			if other != mark.Fingerprint && (mark.Complete || !tracker.marks[other].Complete) {
 				shared[other] = append(shared[other], loss)
 			}
 		}
--- a/reel/quarantine/blame_test.go
+++ b/reel/quarantine/blame_test.go
@@ -121,6 +121,23 @@
 		tracker.RecordServiceSuccess(start, 8, "desk")
 		assertVerdict(t, &tracker, start.Add(settled), Quarantined)
 	})
+	t.Run("at all crashes of several requests, after it was answered by all services", func(t *testing.T) {
+		var tracker Tracker
+		tracker.RecordServiceSuccess(start, 9, "desk")
+		tracker.RecordCompletion(start, 9)
+		for wave, target := range []string{"a", "b", "c", "d"} {
+			culprit := Fingerprint(7 + wave%2)
+			tracker.RecordLoss(start, culprit, loss(target, uint64(wave+1), 0))
+			tracker.RecordLoss(start, 9, loss(target, uint64(wave+10), 0))
+		}
+		later := start.Add(completeSettleTime)
+		assertVerdict(t, &tracker, later, Suspect)
+		if got := tracker.Verdict(later, 9); got != Suspect {
+			t.Errorf("the verdict on the harmless request is %v, want suspect", got)
+		}
+		tracker.RecordLoss(start, 7, loss("e", 5, 0))
+		assertVerdict(t, &tracker, later, Quarantined)
+	})
 	t.Run("while targets crash without it", func(t *testing.T) {
 		var tracker Tracker
 		tracker.RecordLoss(start, 8, loss("c", 9, 0))
@@ -213,7 +230,7 @@
 			tracker := rapid.SampledFrom(trackers).Draw(t, "tracker")
 			now := start.Add(time.Duration(step) * time.Second)
 			fingerprint := Fingerprint(rapid.IntRange(1, 3).Draw(t, "fingerprint"))
-			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
 			case 0, 1:
 				lost := loss(fmt.Sprint("t", rapid.IntRange(0, 4).Draw(t, "target")), uint64(step+1), time.Duration(step)*time.Second)
 				lost.Silent = rapid.Bool().Draw(t, "silent")
@@ -222,6 +239,8 @@
 			case 2:
 				tracker.RecordServiceSuccess(now, fingerprint, "desk")
 			case 3:
+				tracker.RecordCompletion(now, fingerprint)
+			case 4:
 				other := rapid.SampledFrom(trackers).Draw(t, "other")
 				for _, mark := range tracker.Marks(now) {
 					other.Merge(now, mark)
--- a/reel/quarantine/mark.go
+++ b/reel/quarantine/mark.go
@@ -37,8 +37,9 @@
 	Fingerprint Fingerprint `json:"fingerprint" msgpack:"f"`
 	Version     uint64      `json:"version" msgpack:"v"` // incremented by each crash and each success that clears losses
 	Losses      []Loss      `json:"losses" msgpack:"l"`
-	Until       time.Time   `json:"until" msgpack:"u"`                      // expiry time
-	Proven      bool        `json:"proven,omitempty" msgpack:"p,omitempty"` // whether the fingerprint ever ran without a crash
+	Until       time.Time   `json:"until" msgpack:"u"`                        // expiry time
+	Proven      bool        `json:"proven,omitempty" msgpack:"p,omitempty"`   // whether the fingerprint ever ran without a crash
+	Complete    bool        `json:"complete,omitempty" msgpack:"c,omitempty"` // whether a request with it was ever answered by all its services
 }
 
 // Crashes returns the number of crashes in the mark for which there is evidence; those in one wave count once.
@@ -87,6 +88,7 @@
 	data = binary.BigEndian.AppendUint64(data, uint64(mark.Fingerprint))
 	data = binary.BigEndian.AppendUint64(data, mark.Version)
 	data = strconv.AppendBool(data, mark.Proven)
+	data = strconv.AppendBool(data, mark.Complete)
 	for _, loss := range mark.Losses {
 		data = append(data, loss.Target...)
 		data = binary.BigEndian.AppendUint64(data, uint64(loss.Born))
--- a/reel/quarantine/quarantine.go
+++ b/reel/quarantine/quarantine.go
@@ -47,7 +47,7 @@
 	mutex           sync.Mutex
 	marks           map[Fingerprint]Mark
 	lost            map[process][]Fingerprint // fingerprints with a loss, by the process that crashed
-	trustedUntil    map[Fingerprint]time.Time
+	trusted         map[Fingerprint]trust
 	changedAt       map[Fingerprint]time.Time // when each mark last changed on this instance
 	lostAt          map[Fingerprint]time.Time // when the number of crashes in each mark last changed on this instance
 	replicatedUntil map[Fingerprint]time.Time // expiry of each mark as the other instances know it
@@ -134,6 +134,7 @@
 	defer tracker.mutex.Unlock()
 	mark := tracker.currentMark(now, fingerprint)
 	mark.Proven = mark.Proven || tracker.isTrusted(now, fingerprint)
+	mark.Complete = mark.Complete || tracker.isComplete(now, fingerprint)
 	return tracker.addLoss(now, mark, loss)
 }
 
@@ -182,6 +183,26 @@
 	return mark, true
 }
 
+// RecordCompletion records that a request with the fingerprint was answered by all its services. It returns the mark on
+// the fingerprint, and true if the mark changed.
+func (tracker *Tracker) RecordCompletion(now time.Time, fingerprint Fingerprint) (Mark, bool) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	tracker.ensureMaps()
+	if trust, trusted := tracker.trusted[fingerprint]; trusted {
+		trust.complete = true
+		tracker.trusted[fingerprint] = trust
+	}
+	mark := tracker.currentMark(now, fingerprint)
+	if mark.Version == 0 || mark.Complete {
+		return mark, false
+	}
+	mark.Complete = true
+	mark.Version++
+	tracker.setMark(now, mark)
+	return mark, true
+}
+
 // RecordRefusal records that a request with the quarantined fingerprint was refused, which renews its mark. It returns
 // the renewed mark, and true if the renewal must be replicated.
 func (tracker *Tracker) RecordRefusal(now time.Time, fingerprint Fingerprint) (Mark, bool) {
@@ -217,10 +238,15 @@
 		return false
 	}
 	received.Proven = received.Proven || current.Proven
+	received.Complete = received.Complete || current.Complete
 	if !received.Proven && received.hasWaves() && tracker.isTrusted(now, received.Fingerprint) {
 		received.Proven = true
 		received.Version++ // tells the sender that the request ran here
 	}
+	if !received.Complete && received.hasWaves() && tracker.isComplete(now, received.Fingerprint) {
+		received.Complete = true
+		received.Version++
+	}
 	merged := mergeLosses(current.Losses, received.Losses)
 	switch {
 	case received.Version == current.Version:
@@ -292,13 +318,13 @@
 			tracker.removeMark(fingerprint)
 		}
 	}
-	for fingerprint, until := range tracker.trustedUntil {
-		if !now.Before(until) {
-			delete(tracker.trustedUntil, fingerprint)
+	for fingerprint, trust := range tracker.trusted {
+		if !now.Before(trust.until) {
+			delete(tracker.trusted, fingerprint)
 		}
 	}
 	tracker.trustOrder = slices.DeleteFunc(tracker.trustOrder, func(fingerprint Fingerprint) bool {
-		_, trusted := tracker.trustedUntil[fingerprint]
+		_, trusted := tracker.trusted[fingerprint]
 		return !trusted
 	})
 }
--- a/reel/quarantine/store.go
+++ b/reel/quarantine/store.go
@@ -74,6 +74,6 @@
 		tracker.lost = map[process][]Fingerprint{}
 		tracker.changedAt = map[Fingerprint]time.Time{}
 		tracker.replicatedUntil = map[Fingerprint]time.Time{}
-		tracker.trustedUntil = map[Fingerprint]time.Time{}
+		tracker.trusted = map[Fingerprint]trust{}
 	}
 }
--- a/shallotreel/crashwatch/crashwatch.go
+++ b/shallotreel/crashwatch/crashwatch.go
@@ -157,6 +157,13 @@
 	watch.replicate(attempt.Fingerprint)
 }
 
+// Completed records that all services of a request answered it.
+func (watch *Watch) Completed(now time.Time, fingerprint quarantine.Fingerprint) {
+	if _, changed := watch.tracker.RecordCompletion(now, fingerprint); changed {
+		watch.replicate(fingerprint)
+	}
+}
+
 // Refused records that the target refuses connections. Unless it is leaving or its registration has ended, its process has
 // crashed.
 func (watch *Watch) Refused(now time.Time, target catalogue.Target) {
@@ -219,7 +226,7 @@
 		watch.write(now, "crash attributed to a request", logrus.Fields{"request": attribution.Request,
 			"fingerprint": attribution.Fingerprint.String(), "target": attribution.Target.ID, "service": attribution.Target.Service,
 			"evidence": string(attribution.Evidence), "age_ms": now.Sub(attribution.SentAt).Milliseconds(),
-			"crashes": mark.Crashes(), "proven": mark.Proven, "verdict": watch.tracker.Verdict(now, attribution.Fingerprint).String()})
+			"crashes": mark.Crashes(), "proven": mark.Proven, "complete": mark.Complete, "verdict": watch.tracker.Verdict(now, attribution.Fingerprint).String()})
 		watch.replicate(attribution.Fingerprint)
 	}
 }
--- a/shallotreel/crashwatch/fleet_test.go
+++ b/shallotreel/crashwatch/fleet_test.go
@@ -17,6 +17,7 @@
 const (
 	culpritFingerprint = quarantine.Fingerprint(7)
 	popularFingerprint = quarantine.Fingerprint(8)
+	rivalFingerprint   = quarantine.Fingerprint(100) // of the first further request that crashes targets
 	firstFingerprint   = 1000 // of the other harmless requests, which all differ
 	sessionTime        = 14 * time.Second
 	harmlessPeriod     = 25 * time.Millisecond
@@ -41,10 +42,10 @@
 	return drawn
 }
 
-// repeatCulprit repeats the crashing request under new ids.
-func (simulation *simulation) repeatCulprit(count int) {
-	simulation.request(fmt.Sprint("crash-", count), culpritFingerprint, true, func(result.Code) {})
-	simulation.schedule(200*time.Millisecond+simulation.draw(400*time.Millisecond), func() { simulation.repeatCulprit(count + 1) })
+// repeatCulprit repeats a crashing request under new ids.
+func (simulation *simulation) repeatCulprit(fingerprint quarantine.Fingerprint, count int) {
+	simulation.request(fmt.Sprint("crash-", count), fingerprint, true, func(result.Code) {})
+	simulation.schedule(200*time.Millisecond+simulation.draw(400*time.Millisecond), func() { simulation.repeatCulprit(fingerprint, count+1) })
 }
 
 // sendHarmless sends a harmless request, whose caller repeats it once after a failure, and then the next one.
@@ -137,7 +138,10 @@
 	t.Helper()
 	simulation := newSimulation(conditions)
 	simulation.start()
-	simulation.repeatCulprit(0)
+	simulation.repeatCulprit(culpritFingerprint, 0)
+	for rival := range conditions.rivals {
+		simulation.schedule(simulation.draw(queueFrom), func() { simulation.repeatCulprit(rivalFingerprint+quarantine.Fingerprint(rival), 0) })
+	}
 	simulation.run(sessionTime)
 	if late := simulation.lateRepeats(); late > maxLateRepeats {
 		t.Fatalf("%d repeats reached targets later than %v after crash %d, allowed are %d; %d crashes in all",
@@ -150,6 +154,18 @@
 	}
 }
 
+// TestRivalsAtOverloadedTargets guards against marks on a popular harmless request that runs on each target when one of
+// several crashing requests does, since requests wait long at the targets: by number of crashes alone it is the likeliest.
+func TestRivalsAtOverloadedTargets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		drawn := drawConditions(t)
+		drawn.silent = false
+		drawn.rivals = rapid.IntRange(1, 3).Draw(t, "rivals")
+		drawn.queue = time.Duration(rapid.IntRange(100, 600).Draw(t, "queue ms")) * time.Millisecond
+		playCulprit(t, drawn)
+	})
+}
+
 // TestCrashesWithoutCulprit guards against marks on requests that were running when targets crashed for other reasons.
 func TestCrashesWithoutCulprit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/shallotreel/crashwatch/simulated_request_test.go
+++ b/shallotreel/crashwatch/simulated_request_test.go
@@ -141,6 +141,9 @@
 func (session *session) finish(finish query.Finish) {
 	simulation := session.instance.simulation
 	session.finished = true
+	if finish.Code == result.OK {
+		session.instance.watch.Completed(simulation.now, session.fingerprint)
+	}
 	if finish.Code == result.Quarantined {
 		session.instance.watch.RecordRefusal(simulation.now, session.request, session.fingerprint)
 	}
--- a/shallotreel/crashwatch/simulation_test.go
+++ b/shallotreel/crashwatch/simulation_test.go
@@ -27,6 +27,7 @@
 	gossipPeriod     = 100 * time.Millisecond
 	tickPeriod       = 250 * time.Millisecond
 	gossipFanout     = 4
+	queueFrom        = 2 * time.Second
 )
 
 var epoch = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
@@ -48,6 +49,8 @@
 	kills      int           // instances that are killed and start again
 	lostAnswer float64       // share of answers of living targets in place of which the connection breaks
 	random     time.Duration // period of crashes without a culprit, 0 for none
+	rivals     int           // further requests that crash their targets
+	queue      time.Duration // longest time that a request waits at a target before it is run, after the first queueFrom
 }
 
 // simulation runs the machines of several instances in virtual time.
@@ -236,17 +239,27 @@
 		return
 	}
 	target.running = append(target.running, attempt)
+	wait := time.Duration(0)
+	if simulation.queue > 0 && simulation.now.Sub(epoch) > queueFrom {
+		wait = simulation.draw(simulation.queue)
+	}
 	if attempt.session.crashes {
-		simulation.culprit = append(simulation.culprit, arrival{attempt.session.request, simulation.now, attempt.session.instance.inTouch()})
-		simulation.schedule(beforeCrash, func() {
-			if !target.down {
+		counts := attempt.session.fingerprint == culpritFingerprint
+		if counts {
+			simulation.culprit = append(simulation.culprit, arrival{attempt.session.request, simulation.now, attempt.session.instance.inTouch()})
+		}
+		simulation.schedule(wait+beforeCrash, func() {
+			if target.down {
+				return
+			}
+			if counts {
 				simulation.crashes = append(simulation.crashes, simulation.now)
-				target.crash()
 			}
+			target.crash()
 		})
 		return
 	}
-	simulation.schedule(5*time.Millisecond+simulation.draw(25*time.Millisecond), func() {
+	simulation.schedule(wait+5*time.Millisecond+simulation.draw(25*time.Millisecond), func() {
 		if target.down {
 			return
 		}
--- a/shallotreel/front/crashing_request_test.go
+++ b/shallotreel/front/crashing_request_test.go
@@ -64,6 +64,7 @@
 	stops   []func() // kills each instance
 	configs []settings.Front
 	refused int // harmless requests that were refused by a mark
+	log     markLog
 }
 
 // startFleet starts the targets of the scenario and fleetSize instances.
@@ -129,16 +130,16 @@
 	if *program != "" {
 		return startProgram(fleet.t, config)
 	}
-	front, config := startOnFreePorts(fleet.t, config)
+	front, config := startOnFreePorts(fleet.t, config, &fleet.log)
 	return front.close, config
 }
 
-// startOnFreePorts starts an instance on local ports and waits until it is ready. Another process can take a port
+// startOnFreePorts starts an instance on local ports that logs to the output, and waits until it is ready. Another process can take a port
 // between its choice and the start, which then chooses others.
-func startOnFreePorts(t *testing.T, config settings.Front) (*Front, settings.Front) {
+func startOnFreePorts(t *testing.T, config settings.Front, output io.Writer) (*Front, settings.Front) {
 	t.Helper()
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log.SetOutput(output)
 	for {
 		config.CallerAddress, config.ReadyAddress, config.ResolveAddress = freeAddress(t), freeAddress(t), freeAddress(t)
 		config.PeerAddress, config.MetricsAddress = freeAddress(t), freeAddress(t)
@@ -273,6 +274,7 @@
 			}
 			if fleet.refused > 0 {
 				t.Errorf("%d harmless requests are refused by a mark", fleet.refused)
+				t.Logf("marks on them:\n%s", strings.Join(fleet.log.harmlessMarks(), "\n"))
 			}
 		})
 	}
--- a/shallotreel/front/front_test.go
+++ b/shallotreel/front/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -48,7 +49,7 @@
 	store.Register(t, storetest.Target{ID: "one", Seq: 1, Address: netip.MustParseAddrPort(target.Listener.Addr().String())})
 	return startOnFreePorts(t, settings.Front{Name: "front", DataCentre: "a", StoreAddress: store.Address(),
 		Grace: document.Duration(waitTimeout), MaxAddressTTL: document.Duration(time.Second), LogLevel: "info",
-		Extra: settings.Extra{Ratio: 0.2, Window: document.Duration(time.Second), Slack: 10}})
+		Extra: settings.Extra{Ratio: 0.2, Window: document.Duration(time.Second), Slack: 10}}, io.Discard)
 }
 
 func status(address netip.AddrPort, path string) int {
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -59,6 +59,9 @@
 	if finish.Code != result.OK && finish.Code != result.Canceled && finish.Code != result.Quarantined {
 		run.record.Gaps = run.machine.Gaps(time.Now())
 	}
+	if finish.Code == result.OK {
+		run.handler.crashes.Completed(time.Now(), run.plan.Fingerprint)
+	}
 	run.record.Suspect = run.machine.Suspect()
 	run.cancelOpenCalls(finish.Code == result.Canceled)
 	return *finish
