Store: read everything again after it was restored from a copy

Cause: an instance knew only a revision. After a restore the revisions go back and are given out again, so that a watch from the known one returns later changes only, and those between the copy and it are missed for good; a peer's whole catalogue with a higher revision of before passed for newer.

Change: the position is the era and the revision. The decisions what to read next move out of package feed into reel/cursor, a machine without network. The configuration with the highest version stays in force, also while the store has an older one. Found by reading: a peer's reply named a revision that could be newer than its catalogue, mended.

--- a/reel/catalogue/catalogue.go
+++ b/reel/catalogue/catalogue.go
@@ -182,6 +182,12 @@
 	}
 }
 
+// StoreRestored records that the store was restored from a copy, which lacks registrations that were made after it. They
+// are made again within reregistrationTimeout, like those that expire during an outage.
+func (catalogue *Catalogue) StoreRestored(now time.Time) {
+	catalogue.storeRecoveredAt = now
+}
+
 // StoreRecovering reports whether the store recovered less than reregistrationTimeout ago, so that a removal may be the
 // expired registration of a running target.
 func (catalogue *Catalogue) StoreRecovering(now time.Time) bool {
--- a/reel/catalogue/catalogue_test.go
+++ b/reel/catalogue/catalogue_test.go
@@ -140,3 +140,33 @@
 		}
 	}
 }
+
+// TestStoreRestored checks that a target whose registration is missing in a restored store stays usable until it must
+// have registered again.
+func TestStoreRestored(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		restored bool
+		after    time.Duration
+		want     int
+	}{
+		{"the store was not restored", false, 0, 0},
+		{"the store was restored just now", true, reregistrationTimeout - 1, 1},
+		{"the target has not registered again in time", true, reregistrationTimeout, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			catalogue := New()
+			catalogue.Register(Target{ID: "one", Service: "desk", Born: 1, Seq: 1})
+			if test.restored {
+				catalogue.StoreRestored(now)
+			}
+			catalogue.BeginListing()
+			catalogue.EndListing(now)
+			catalogue.Tick(now.Add(test.after))
+			if got := len(catalogue.View().Targets("desk")); got != test.want {
+				t.Errorf("%d targets are usable, want %d", got, test.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/reel/cursor/cursor_test.go
@@ -0,0 +1,88 @@
+package cursor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+var start = time.Date(2026, 12, 4, 7, 0, 0, 0, time.UTC)
+
+// TestAccept checks what a cursor at revision 9 of era 3 reads next after an answer of an era.
+func TestAccept(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		era  uint64
+		err  error
+		next Read
+	}{
+		{"the same era", 3, nil, Read{After: 9, Wait: WatchTimeout}},
+		{"an answer that does not say its era", 0, nil, Read{After: 9, Wait: WatchTimeout}},
+		{"the next era", 4, ErrRestored, Read{Whole: true}},
+		{"an era after two losses", 5, ErrRestored, Read{Whole: true}},
+		{"a late answer of an earlier era", 2, ErrOldEra, Read{After: 9, Wait: WatchTimeout}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var cursor Cursor
+			if err := cursor.Accept(3); err != nil {
+				t.Fatal(err)
+			}
+			cursor.ReadAll(9, false)
+			if err := cursor.Accept(test.era); !errors.Is(err, test.err) {
+				t.Errorf("got error %v, want %v", err, test.err)
+			}
+			if next := cursor.Next(start, false); next != test.next {
+				t.Errorf("the next read is %+v, want %+v", next, test.next)
+			}
+		})
+	}
+}
+
+// TestReadPeer checks which catalogues of a peer an instance uses that has read revision 9 of era 3.
+func TestReadPeer(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		reply  PeerReply
+		usable bool
+		want   Position
+	}{
+		{"newer", PeerReply{Whole: true, Position: Position{3, 10}}, true, Position{3, 10}},
+		{"older changes of the same era", PeerReply{Position: Position{3, 8}}, true, Position{3, 9}},
+		{"older whole catalogue", PeerReply{Whole: true, Position: Position{3, 8}}, false, Position{3, 9}},
+		{"newer era at a lower revision", PeerReply{Position: Position{4, 2}}, true, Position{4, 2}},
+		{"older era at a higher revision", PeerReply{Position: Position{2, 50}}, false, Position{3, 9}},
+		{"too old", PeerReply{Position: Position{3, 10}, Age: MaxAge + 1}, false, Position{3, 9}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			cursor := Cursor{position: Position{3, 9}, listed: true}
+			_, err := cursor.ReadPeer(start, test.reply)
+			if usable := err == nil; usable != test.usable {
+				t.Errorf("the reply is used: %v, want %v", usable, test.usable)
+			}
+			if cursor.Position() != test.want {
+				t.Errorf("the position is %+v, want %+v", cursor.Position(), test.want)
+			}
+			if next := cursor.Next(start.Add(time.Millisecond), true); next.Peer != test.usable {
+				t.Errorf("the next read is from the peer: %v, want %v", next.Peer, test.usable)
+			}
+		})
+	}
+}
+
+// TestFail checks that the pauses after failures grow to a limit.
+func TestFail(t *testing.T) {
+	var cursor Cursor
+	pause := time.Duration(0)
+	for range 200 {
+		next := cursor.Fail(errors.New("no answer"))
+		if next < pause || next > time.Second {
+			t.Fatalf("a pause of %v follows one of %v", next, pause)
+		}
+		pause = next
+	}
+	cursor.ReadChanges(1)
+	if next := cursor.Fail(errors.New("no answer")); next >= pause {
+		t.Errorf("the first pause after a success is %v, want less than %v", next, pause)
+	}
+}
--- a/shallotreel/cataloguesync/cataloguesync.go
+++ b/shallotreel/cataloguesync/cataloguesync.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"shallotreel.example/reel/catalogue"
+	"shallotreel.example/reel/cursor"
 )
 
 // ErrTimeout is returned by Client.Fetch if the peer does not answer in time.
@@ -27,9 +28,15 @@
 	Whole   bool // whether Delta contains all targets
 	Delta   catalogue.Delta
 	Age     time.Duration // time since the store's state was last read
+	Era     uint64        // of the store at that time
 	Store   uint64        // revision of the store at that time
 }
 
+// Position returns the state of the store that the catalogue reflects.
+func (reply Reply) Position() cursor.Position {
+	return cursor.Position{Era: reply.Era, Revision: reply.Store}
+}
+
 // Source answers queries from the catalogue of this instance.
 type Source interface{ Since(query Query) Reply }
 
--- a/shallotreel/crashwatch/fleet_test.go
+++ b/shallotreel/crashwatch/fleet_test.go
@@ -18,7 +18,7 @@
 	culpritFingerprint = quarantine.Fingerprint(7)
 	popularFingerprint = quarantine.Fingerprint(8)
 	rivalFingerprint   = quarantine.Fingerprint(100) // of the first further request that crashes targets
-	firstFingerprint   = 1000 // of the other harmless requests, which all differ
+	firstFingerprint   = 1000                        // of the other harmless requests, which all differ
 	sessionTime        = 14 * time.Second
 	harmlessPeriod     = 25 * time.Millisecond
 	popularPeriod      = 100 * time.Millisecond
--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -12,39 +12,35 @@
 
 	"shallotreel.example/platform"
 	"shallotreel.example/reel/catalogue"
+	"shallotreel.example/reel/cursor"
 	"shallotreel.example/shallotreel/cataloguesync"
 )
 
 const (
-	tickInterval   = 250 * time.Millisecond  // between two calls of Catalogue.Tick
-	watchInterval  = 200 * time.Millisecond  // pause between two watches, so that one call returns several changes
-	watchTimeout   = 1300 * time.Millisecond // server-side wait; the end of an idle watch shows that the store is reachable
-	catchUpTimeout = 10 * time.Millisecond   // wait of the first watch after a stale read; short because peers may query soon
-	callTimeout    = time.Second             // of one call, in addition to the server-side wait of a watch
-	minBackoff     = 100 * time.Millisecond
-	maxBackoff     = 800 * time.Millisecond
+	tickInterval = 250 * time.Millisecond // between two calls of Catalogue.Tick
+	callTimeout  = time.Second            // of one call, in addition to the server-side wait of a watch
 )
 
 // Feed keeps the catalogue in a single actor and publishes immutable views of it.
 type Feed struct {
-	ctx              context.Context
-	root             *actor.RootContext
-	pid              *actor.PID
-	store            *platform.Store
-	log              logrus.FieldLogger
-	catalogue        *catalogue.Catalogue
-	view             atomic.Pointer[catalogue.View]
-	calls            atomic.Int64
-	incarnation      uint64 // distinguishes this process from others of the same instance
-	peers            Peers
-	lastContact      atomic.Int64 // time at which the store was last read, directly or by a peer, in nanoseconds since processStart
-	storeRevision    atomic.Uint64
-	mutex            sync.Mutex
-	changed          chan struct{} // closed at the next change and then replaced; guarded by mutex
-	storeFailing     bool
-	onReady          func() // called once, when the first configuration is applied
-	onTargetChange   func(catalogue.Change)
-	rejectedRevision uint64 // store revision of the newest configuration that could not be decoded
+	ctx            context.Context
+	root           *actor.RootContext
+	pid            *actor.PID
+	store          *platform.Store
+	log            logrus.FieldLogger
+	catalogue      *catalogue.Catalogue
+	view           atomic.Pointer[catalogue.View]
+	calls          atomic.Int64
+	incarnation    uint64 // distinguishes this process from others of the same instance
+	peers          Peers
+	lastContact    atomic.Int64                    // time at which the store was last read, directly or by a peer, in nanoseconds since processStart
+	position       atomic.Pointer[cursor.Position] // of the store when it was last read
+	mutex          sync.Mutex
+	changed        chan struct{} // closed at the next change and then replaced; guarded by mutex
+	storeFailing   bool
+	onReady        func() // called once, when the first configuration is applied
+	onTargetChange func(catalogue.Change)
+	skipped        cursor.Position // of the newest configuration in the store that was not applied
 }
 
 // Messages that the actor receives.
@@ -56,6 +52,7 @@
 		first, last bool
 	}
 	watchEvents    struct{ response platform.StoreResponse }
+	storeRestored  struct{ from, to uint64 } // eras
 	peerDelta      struct{ reply cataloguesync.Reply }
 	bootstrapDelta struct{ reply cataloguesync.Reply } // possibly stale; used only until a configuration is applied
 	deltaRequest   struct{ serial uint64 }
@@ -86,6 +83,7 @@
 	feed := &Feed{ctx: ctx, root: system.Root, store: config.Store, peers: config.Peers, incarnation: config.Incarnation,
 		log: config.Log, onReady: config.OnReady, onTargetChange: config.OnTargetChange, catalogue: catalogue.New(), changed: make(chan struct{})}
 	feed.view.Store(feed.catalogue.View())
+	feed.position.Store(&cursor.Position{})
 	return feed
 }
 
@@ -137,19 +135,22 @@
 		if message.first {
 			feed.catalogue.BeginListing()
 		}
-		feed.apply(now, message.response.Items)
+		feed.apply(now, message.response)
 		if message.last {
 			feed.logChanges(feed.catalogue.EndListing(now)...)
 		}
 	case watchEvents:
 		feed.storeAnswered(now)
-		feed.apply(now, message.response.Items)
+		feed.apply(now, message.response)
+	case storeRestored:
+		feed.catalogue.StoreRestored(now)
+		feed.logRestored(message)
 	case peerDelta:
 		feed.applyPeerDelta(now, message.reply)
 	case bootstrapDelta:
 		if feed.catalogue.Configuration() == nil {
 			feed.logChanges(feed.catalogue.Apply(now, message.reply.Delta, message.reply.Whole)...)
-			feed.logConfiguration("peer at startup", message.reply.Store)
+			feed.logConfiguration("peer at startup", message.reply.Position())
 		}
 	case deltaRequest:
 		actorContext.Respond(feed.catalogue.Since(message.serial))
@@ -175,12 +176,13 @@
 
 // apply applies items that were read from the store to the catalogue. It ignores items of other kinds, and a deletion
 // of the configuration, after which the last configuration stays active.
-func (feed *Feed) apply(now time.Time, items []platform.Item) {
-	for _, item := range items {
+func (feed *Feed) apply(now time.Time, response platform.StoreResponse) {
+	era := response.Era
+	for _, item := range response.Items {
 		if id, ok := item.TargetID(); ok {
 			feed.applyTarget(now, id, item)
 		} else if item.IsConfiguration() && !item.Deleted {
-			feed.applyConfiguration(item)
+			feed.applyConfiguration(item, cursor.Position{Era: era, Revision: item.Revision})
 		}
 	}
 }
@@ -203,19 +205,27 @@
 	}
 }
 
-// applyConfiguration applies a configuration that is newer than the current one. An item that cannot be decoded is
-// logged once per revision.
-func (feed *Feed) applyConfiguration(item platform.Item) {
+// applyConfiguration applies a configuration that is newer than the current one. An older one, which the store has after
+// it was restored until the operator writes the newest one again, or one that cannot be decoded, is logged once.
+func (feed *Feed) applyConfiguration(item platform.Item, position cursor.Position) {
+	log := feed.log.WithFields(logrus.Fields{"era": position.Era, "revision": position.Revision})
 	configuration, err := item.Configuration()
-	if err != nil {
-		if item.Revision != feed.rejectedRevision {
-			feed.rejectedRevision = item.Revision
-			feed.log.WithError(err).WithField("revision", item.Revision).Error("configuration rejected; keeping the current version")
+	current := feed.catalogue.Configuration()
+	skipped := feed.skipped == position
+	switch {
+	case err != nil:
+		feed.skipped = position
+		if !skipped {
+			log.WithError(err).Error("configuration rejected; keeping the current version")
+		}
+	case feed.catalogue.Configure(configuration):
+		feed.logConfiguration("store", position)
+	case configuration.Version < current.Version:
+		feed.skipped = position
+		if !skipped {
+			log.WithFields(logrus.Fields{"version": configuration.Version, "in_force": current.Version}).
+				Warn("configuration in the store is older; keeping the current version")
 		}
-		return
-	}
-	if feed.catalogue.Configure(configuration) {
-		feed.logConfiguration("store", item.Revision)
 	}
 }
 
@@ -225,13 +235,21 @@
 	old := feed.catalogue.Configuration()
 	feed.logChanges(feed.catalogue.Apply(now, reply.Delta, reply.Whole)...)
 	if feed.catalogue.Configuration() != old {
-		feed.logConfiguration("peer", reply.Store)
+		feed.logConfiguration("peer", reply.Position())
+	}
+}
+
+func (feed *Feed) logRestored(restored storeRestored) {
+	fields := logrus.Fields{"old_era": restored.from, "era": restored.to}
+	if configuration := feed.catalogue.Configuration(); configuration != nil {
+		fields["version"] = configuration.Version
 	}
+	feed.log.WithFields(fields).Warn("store was restored from a copy; reading all of it again")
 }
 
-func (feed *Feed) logConfiguration(source string, revision uint64) {
+func (feed *Feed) logConfiguration(source string, position cursor.Position) {
 	configuration := feed.catalogue.Configuration()
-	feed.log.WithFields(logrus.Fields{"version": configuration.Version, "revision": revision, "source": source,
+	feed.log.WithFields(logrus.Fields{"version": configuration.Version, "era": position.Era, "revision": position.Revision, "source": source,
 		"routes": len(configuration.Routes)}).Info("configuration in force")
 }
 
--- a/shallotreel/feed/feed_test.go
+++ b/shallotreel/feed/feed_test.go
@@ -15,6 +15,7 @@
 
 	"shallotreel.example/platform"
 	"shallotreel.example/platform/storetest"
+	"shallotreel.example/reel/cursor"
 	"shallotreel.example/shallotreel/cataloguesync"
 )
 
@@ -214,7 +215,7 @@
 	store.Register(t, storetest.Target{ID: "one", Seq: 1})
 	old := start(t, store.Address(), &fakePeers{})
 	waitFor(t, "the peer to load the catalogue", func() bool { return old.version() == 3 && old.targets() == 1 })
-	waitFor(t, "the peer's catalogue to be recent", func() bool { return old.age() < maxAge })
+	waitFor(t, "the peer's catalogue to be recent", func() bool { return old.age() < cursor.MaxAge })
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"net/netip"
 	"time"
@@ -10,48 +9,33 @@
 	"github.com/sirupsen/logrus"
 
 	"shallotreel.example/platform"
+	"shallotreel.example/reel/cursor"
 	"shallotreel.example/shallotreel/cataloguesync"
 )
 
 const (
-	peerPollTimeout   = 500 * time.Millisecond  // for which a peer may delay its answer while nothing changes
-	peerTimeout       = 300 * time.Millisecond  // of a call to a peer, in addition to peerPollTimeout
-	peerPollInterval  = 50 * time.Millisecond   // pause after a change, so that one answer returns several changes
-	maxAge            = 1800 * time.Millisecond // of a peer's catalogue; changes must take effect within three seconds
-	anyAge            = math.MaxInt64           // after a failed call to the store a stale catalogue is better than none
-	bootstrapInterval = 100 * time.Millisecond  // between two attempts to load the first configuration from a serving peer
-	directReadPeriod  = 2 * time.Second         // for which the store is read directly after a peer failed
-	actorTimeout      = time.Second             // of a request to the feed's own actor
+	peerPollTimeout   = 500 * time.Millisecond // for which a peer may delay its answer while nothing changes
+	peerTimeout       = 300 * time.Millisecond // of a call to a peer, in addition to peerPollTimeout
+	anyAge            = math.MaxInt64          // after a failed call to the store a stale catalogue is better than none
+	bootstrapInterval = 100 * time.Millisecond // between two attempts to load the first configuration from a serving peer
+	actorTimeout      = time.Second            // of a request to the feed's own actor
 )
 
-var errPeerStale = errors.New("the peer's catalogue is stale")
-
-// cursor records how far this instance has read the store, directly or through a peer.
-type cursor struct {
-	storeRevision   uint64 // newest revision of the store that was read
-	listed          bool   // whether a full read has succeeded
-	stale           bool   // whether the only read so far is a stale one, which may be seconds old
-	historyLost     bool   // whether the store no longer had the changes after the last revision
-	peerIncarnation uint64 // incarnation of the peer that issued peerSerial
-	peerSerial      uint64
-	directUntil     time.Time // time until which the store is read instead of a peer
-	backoff         time.Duration
-}
-
 // follow reads the whole catalogue once and then its changes, until the context ends. It reads from the peer that is
 // assigned to this instance, or from the store if no peer is assigned or the peer has failed or is stale.
 func (feed *Feed) follow() {
-	cursor := &cursor{backoff: minBackoff}
+	cursor := &cursor.Cursor{}
 	client := &cataloguesync.Client{}
 	defer client.Close()
 	for feed.ctx.Err() == nil {
-		if peer, ok := feed.peers.Reader(); ok && time.Now().After(cursor.directUntil) {
+		peer, hasPeer := feed.peers.Reader()
+		if read := cursor.Next(time.Now(), hasPeer); read.Peer {
 			feed.readPeer(cursor, client, peer)
-			continue
-		}
-		feed.readStore(cursor)
-		if !cursor.listed {
-			feed.bootstrapFromPeer(client, anyAge)
+		} else {
+			feed.readStore(cursor, read)
+			if !cursor.Listed() {
+				feed.bootstrapFromPeer(client, anyAge)
+			}
 		}
 	}
 }
@@ -64,7 +48,7 @@
 	defer client.Close()
 	for feed.ctx.Err() == nil && feed.View().Configuration == nil {
 		feed.sleep(bootstrapInterval)
-		feed.bootstrapFromPeer(client, maxAge)
+		feed.bootstrapFromPeer(client, cursor.MaxAge)
 	}
 }
 
@@ -90,73 +74,70 @@
 	}
 }
 
-// readPeer reads the next changes from the peer. After an error or a stale answer the store is read directly for
-// directReadPeriod.
-func (feed *Feed) readPeer(cursor *cursor, client *cataloguesync.Client, peer netip.AddrPort) {
-	query := cataloguesync.Query{Process: cursor.peerIncarnation, Serial: cursor.peerSerial, Hold: peerPollTimeout}
+// readPeer reads the next changes from the peer.
+func (feed *Feed) readPeer(cursor *cursor.Cursor, client *cataloguesync.Client, peer netip.AddrPort) {
+	era, last := cursor.Position().Era, cursor.Peer()
+	query := cataloguesync.Query{Process: last.Process, Serial: last.Serial, Hold: peerPollTimeout}
 	reply, err := client.Fetch(peer, query, peerTimeout)
-	switch {
-	case err != nil:
-	case reply.Age > maxAge:
-		err = errPeerStale
-	case reply.Whole && reply.Store < cursor.storeRevision:
-		err = errPeerStale
+	var pause time.Duration
+	if err != nil {
+		cursor.FailPeer(time.Now())
+	} else {
+		pause, err = cursor.ReadPeer(time.Now(), describe(reply))
 	}
 	if err != nil {
-		feed.log.WithError(err).WithFields(logrus.Fields{"peer": peer.String(), "age_ms": reply.Age.Milliseconds()}).
-			Warn("peer unavailable or stale; reading the store")
-		cursor.directUntil = time.Now().Add(directReadPeriod)
+		feed.log.WithError(err).WithFields(logrus.Fields{"peer": peer.String(), "age_ms": reply.Age.Milliseconds(),
+			"era": reply.Era, "revision": reply.Store}).Warn("peer unavailable or stale; reading the store")
 		return
 	}
+	feed.checkEra(era, cursor)
 	feed.root.Send(feed.pid, peerDelta{reply})
-	changed := reply.Delta.Serial != cursor.peerSerial
-	cursor.peerIncarnation, cursor.peerSerial, cursor.listed = reply.Process, reply.Delta.Serial, true
-	cursor.storeRevision = max(cursor.storeRevision, reply.Store)
-	feed.recordContact(cursor.storeRevision, reply.Age)
-	if changed {
-		feed.sleep(peerPollInterval)
-	}
+	feed.recordContact(cursor.Position(), reply.Age)
+	feed.sleep(pause)
+}
+
+// describe returns what the cursor needs to know of the reply.
+func describe(reply cataloguesync.Reply) cursor.PeerReply {
+	return cursor.PeerReply{Peer: cursor.Peer{Process: reply.Process, Serial: reply.Delta.Serial}, Whole: reply.Whole,
+		Position: reply.Position(), Age: reply.Age}
 }
 
 // readStore makes one full read or one watch of the store. It then pauses, for longer after each failure.
-func (feed *Feed) readStore(cursor *cursor) {
+func (feed *Feed) readStore(cursor *cursor.Cursor, read cursor.Read) {
+	var pause time.Duration
 	var err error
-	if !cursor.listed {
-		cursor.storeRevision, err = feed.list(!cursor.historyLost)
-		cursor.listed = err == nil
-		if cursor.listed && !cursor.historyLost {
-			cursor.stale = true
-			return // the next watch returns the changes since the stale read
-		}
+	era := cursor.Position().Era
+	if read.Whole {
+		pause, err = feed.list(cursor, read.AllowStale)
 	} else {
-		wait := watchTimeout
-		if cursor.stale {
-			wait = catchUpTimeout
+		pause, err = feed.watch(cursor, read)
+	}
+	feed.checkEra(era, cursor)
+	if err != nil {
+		pause = cursor.Fail(err)
+		if pause > 0 {
+			feed.root.Send(feed.pid, callFailed{err})
 		}
-		cursor.storeRevision, err = feed.watch(cursor.storeRevision, wait)
-		cursor.stale = cursor.stale && err != nil
+	} else if !read.AllowStale {
+		feed.recordContact(cursor.Position(), 0)
 	}
-	switch {
-	case err == nil:
-		cursor.backoff = minBackoff
-		feed.recordContact(cursor.storeRevision, 0)
-		feed.sleep(watchInterval)
-	case errors.Is(err, platform.ErrHistoryLost):
-		cursor.listed, cursor.historyLost = false, true
-	default:
-		feed.root.Send(feed.pid, callFailed{err})
-		feed.sleep(cursor.backoff)
-		cursor.backoff = min(2*cursor.backoff, maxBackoff)
+	feed.sleep(pause)
+}
+
+// checkEra tells the catalogue that the store was restored, if the era was an earlier one before the last read.
+func (feed *Feed) checkEra(before uint64, cursor *cursor.Cursor) {
+	if now := cursor.Position().Era; now > before && before > 0 {
+		feed.root.Send(feed.pid, storeRestored{before, now})
 	}
 }
 
-// list reads all keys page by page and returns the revision of the first page; a watch from that revision misses no
+// list reads all keys page by page and records the revision of the first page; a watch from that revision misses no
 // change. With allowStale the result may be seconds old.
-func (feed *Feed) list(allowStale bool) (uint64, error) {
+func (feed *Feed) list(cursor *cursor.Cursor, allowStale bool) (time.Duration, error) {
 	var revision uint64
 	after, first := "", true
 	for {
-		response, err := feed.call(callTimeout, func(ctx context.Context) (platform.StoreResponse, error) {
+		response, err := feed.call(cursor, callTimeout, func(ctx context.Context) (platform.StoreResponse, error) {
 			return feed.store.Range(ctx, after, allowStale)
 		})
 		if err != nil {
@@ -168,31 +149,35 @@
 		last := !response.HasMore || response.LastKey == ""
 		feed.root.Send(feed.pid, listPage{response, first, last})
 		if last {
-			return revision, nil
+			return cursor.ReadAll(revision, allowStale), nil
 		}
 		after, first = response.LastKey, false
 	}
 }
 
-// watch reads the changes after the revision and returns the revision up to which changes are read.
-func (feed *Feed) watch(revision uint64, wait time.Duration) (uint64, error) {
-	response, err := feed.call(watchTimeout+callTimeout, func(ctx context.Context) (platform.StoreResponse, error) {
-		return feed.store.Watch(ctx, revision, wait)
+// watch reads the changes after a revision.
+func (feed *Feed) watch(cursor *cursor.Cursor, read cursor.Read) (time.Duration, error) {
+	response, err := feed.call(cursor, read.Wait+callTimeout, func(ctx context.Context) (platform.StoreResponse, error) {
+		return feed.store.Watch(ctx, read.After, read.Wait)
 	})
 	if err != nil {
-		return revision, err
+		return 0, err
 	}
 	feed.root.Send(feed.pid, watchEvents{response})
-	return max(revision, response.Revision), nil
+	return cursor.ReadChanges(response.Revision), nil
 }
 
-// call makes one call to the store with the timeout and counts it.
-func (feed *Feed) call(timeout time.Duration,
+// call makes one call to the store with the timeout, counts it and checks the era of the answer.
+func (feed *Feed) call(cursor *cursor.Cursor, timeout time.Duration,
 	call func(context.Context) (platform.StoreResponse, error)) (platform.StoreResponse, error) {
 	ctx, cancel := context.WithTimeout(feed.ctx, timeout)
 	defer cancel()
 	feed.calls.Add(1)
-	return call(ctx)
+	response, err := call(ctx)
+	if err != nil {
+		return response, err
+	}
+	return response, cursor.Accept(response.Era)
 }
 
 // sleep waits for the pause or until the context ends.
--- a/shallotreel/feed/serve.go
+++ b/shallotreel/feed/serve.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"shallotreel.example/reel/catalogue"
+	"shallotreel.example/reel/cursor"
 	"shallotreel.example/shallotreel/cataloguesync"
 )
 
@@ -11,17 +12,17 @@
 // independent of changes of the wall clock.
 var processStart = time.Now()
 
-// recordContact records that the store was read the given age ago, at the revision.
-func (feed *Feed) recordContact(revision uint64, age time.Duration) {
+// recordContact records that the store was read the given age ago, at the position.
+func (feed *Feed) recordContact(position cursor.Position, age time.Duration) {
 	feed.lastContact.Store(int64(time.Since(processStart) - age))
-	feed.storeRevision.Store(revision)
+	feed.position.Store(&position)
 }
 
 // age returns the time since the store was last read, directly or by a peer. Before the first contact it exceeds
-// maxAge.
+// cursor.MaxAge.
 func (feed *Feed) age() time.Duration {
 	if feed.lastContact.Load() == 0 {
-		return time.Since(processStart) + maxAge
+		return time.Since(processStart) + cursor.MaxAge
 	}
 	return time.Since(processStart) - time.Duration(feed.lastContact.Load())
 }
@@ -38,11 +39,12 @@
 	defer deadline.Stop()
 	for {
 		changed := feed.nextChange()
-		reply := cataloguesync.Reply{Process: feed.incarnation, Whole: serial == 0, Store: feed.storeRevision.Load(), Age: feed.age()}
+		position := feed.position.Load() // before the catalogue is read, which may be newer
+		reply := cataloguesync.Reply{Process: feed.incarnation, Whole: serial == 0, Era: position.Era, Store: position.Revision, Age: feed.age()}
 		result, err := feed.root.RequestFuture(feed.pid, deltaRequest{serial}, actorTimeout).Result()
 		if err != nil {
 			feed.log.WithError(err).Error("cannot read the catalogue for a peer")
-			reply.Age = maxAge + time.Second // makes the peer discard this reply
+			reply.Age = cursor.MaxAge + time.Second // makes the peer discard this reply
 			return reply
 		}
 		reply.Delta = result.(catalogue.Delta)
@@ -52,7 +54,7 @@
 		select {
 		case <-changed:
 		case <-deadline.C:
-			reply.Age, reply.Store = feed.age(), feed.storeRevision.Load()
+			reply.Age = feed.age() // the position stays, since changes may have been read after this catalogue
 			return reply
 		case <-feed.ctx.Done():
 			return reply
