Targets: heed Server-Leaving and Retry-After in their answers

Cause: nothing read what a target says of itself with an answer but its load. A target that leaves got requests until the store or a peer said so, and one that turned a request away got the next one after its backoff of .3 s.

Change: an answer that says so makes its process leave for good here, at once and without the store; the peer that reads the store learns it with the next query and passes it on. After a 503 with Retry-After the target gets nothing until the time is over, or it has started again. A request, or a shard of it, whose targets are all quiet for longer than it may wait ends at once, with the time to come back (3 s at most, since another target may start).

--- a/reel/catalogue/catalogue.go
+++ b/reel/catalogue/catalogue.go
@@ -130,6 +130,18 @@
 	return change, true
 }
 
+// Leave records that a process of a target said itself that it leaves, and reports whether that changed the target. It
+// stays so whatever its registration says later.
+func (catalogue *Catalogue) Leave(id string, born int64) (Change, bool) {
+	existing, ok := catalogue.entries[id]
+	if !ok || existing.Leaving || existing.Born != born {
+		return Change{}, false
+	}
+	existing.Leaving = true
+	catalogue.changed(existing)
+	return Change{Target: id, Kind: "leaving, as its answer says", Registration: existing.Target}, true
+}
+
 // Remove applies the end of a registration and reports whether the target was registered. While the store is
 // recovering, the registration of a running target may have expired; the target then stays usable until
 // reregistrationTimeout after the recovery.
--- a/reel/catalogue/property_test.go
+++ b/reel/catalogue/property_test.go
@@ -70,7 +70,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			id := fmt.Sprint("in-", rapid.IntRange(0, 3).Draw(t, "target"))
 			switch rapid.SampledFrom([]string{"heartbeat", "drain", "stale report", "restart", "remove", "store failure",
-				"store answer", "new version", "old version", "sync", "listing"}).Draw(t, "step") {
+				"store answer", "answer says leaving", "store restored", "new version", "old version", "sync", "listing"}).Draw(t, "step") {
 			case "heartbeat":
 				model.report(id, false)
 			case "drain":
@@ -90,6 +90,13 @@
 				model.reader.StoreFailed()
 			case "store answer":
 				model.reader.StoreAnswered(model.now)
+			case "answer says leaving":
+				if model.sequences[id] > 0 {
+					model.reader.Leave(id, int64(model.processes[id]))
+					model.leavingProcess[id] = model.processes[id]
+				}
+			case "store restored":
+				model.reader.StoreRestored(model.now)
 			case "new version":
 				model.version++
 				model.reader.Configure(NewConfiguration(model.version, nil, nil, Limits{}))
--- a/reel/choice/health.go
+++ b/reel/choice/health.go
@@ -8,7 +8,7 @@
 	Kind          string        // one of the constants below, such as Healthy
 	LatencyFactor float64       // moving average of the target's latency relative to the median of the route
 	FailureRate   float64       // moving average of the target's failures, from 0 to 1
-	LongestWait   time.Duration // age of the target's oldest attempt in flight; set for Unresponsive only
+	LongestWait   time.Duration // age of the target's oldest attempt in flight, for Unresponsive; time without requests, for Quiet
 	UnservedShare float64       // share of the service's requests that get no target in time; set for services only
 }
 
@@ -19,6 +19,7 @@
 	Unresponsive      = "no answer within the suspicion timeout"
 	RespondsAgain     = "responsive again"
 	AddressReused     = "another process has its address"
+	Quiet             = "wants no requests for a time"
 	Saturated         = "most requests get no target in time"
 	NoLongerSaturated = "most requests get a target in time"
 	maxHealthChanges  = 256 // changes kept until TakeHealthChanges; further ones are dropped
--- a/reel/choice/health_test.go
+++ b/reel/choice/health_test.go
@@ -34,13 +34,13 @@
 			selector.Choose(at(now+80+i), route, all, service, nil, always)
 		}
 		assertHealthChanges(t, selector, "in-a "+Unresponsive)
-		selector.RecordEnd(at(now+90), all[0], 1, Answered, nil)
+		selector.RecordEnd(at(now+90), all[0], 1, Answered, Report{})
 		assertHealthChanges(t, selector, "in-a "+RespondsAgain)
 	})
 	t.Run("address is reused by another process", func(t *testing.T) {
 		selector, all := newSelector(), targets()
 		selector.RecordSent(at(0), all[0].ID, Attempt{ID: 1, Route: route.Name, SentAt: at(0)})
-		selector.RecordEnd(at(3), all[0], 1, Misdirected, nil)
+		selector.RecordEnd(at(3), all[0], 1, Misdirected, Report{})
 		assertHealthChanges(t, selector, "in-a "+AddressReused)
 	})
 	t.Run("service is saturated and recovers", func(t *testing.T) {
@@ -54,7 +54,7 @@
 		selector, all := newSelector(), targets()
 		for i := range 3 * maxHealthChanges {
 			selector.RecordSent(at(i), all[0].ID, Attempt{ID: uint64(i), Route: route.Name, SentAt: at(i)})
-			selector.RecordEnd(at(i), all[0], uint64(i), Misdirected, nil)
+			selector.RecordEnd(at(i), all[0], uint64(i), Misdirected, Report{})
 		}
 		if got := len(selector.TakeHealthChanges()); got != maxHealthChanges {
 			t.Errorf("%d health changes kept, want %d", got, maxHealthChanges)
--- a/reel/choice/selector.go
+++ b/reel/choice/selector.go
@@ -36,6 +36,13 @@
 	Running, Waiting, Slots int
 }
 
+// Report is what a target says of itself with an answer.
+type Report struct {
+	Load    *Load         // nil if the answer has none
+	Leaving bool          // whether the target takes no new work from now on
+	Quiet   time.Duration // for which the target wants no further request from this instance
+}
+
 // Outcome is the result of an attempt as far as it concerns the health of its target.
 type Outcome int
 
@@ -86,6 +93,8 @@
 	unresponsive        bool             // whether Unresponsive was reported and RespondsAgain not yet
 	misdirectedAt       time.Time        // when another process last answered at the target's address
 	misdirected         catalogue.Target // registration of the target at that time
+	quietUntil          time.Time        // until when the target wants no request from this instance
+	quietBorn           int64            // start of the process that said so
 }
 
 // Attempt is an attempt in flight.
@@ -160,7 +169,7 @@
 	suspect  // an attempt has been unanswered for longer than the suspicion timeout
 	failing  // failed within the failure backoff
 	full     // no free connection, or the window of attempts in flight is exhausted
-	unusable // another process uses its address
+	unusable // another process uses its address, or the target wants no request for now
 )
 
 var gradeNames = []string{"probe", "good", "slow", "suspect", "failing", "full", "unusable"}
@@ -192,6 +201,8 @@
 	switch {
 	case now.Sub(targetHealth.misdirectedAt) < misdirectedBackoff && targetHealth.misdirected.Address == target.Address && targetHealth.misdirected.Born == target.Born:
 		return unusable
+	case targetHealth.isQuiet(now, target):
+		return unusable
 	case len(targetHealth.inFlight) >= limit || targetHealth.window > 0 && float64(len(targetHealth.inFlight)) >= targetHealth.window:
 		return full
 	case targetHealth.consecutiveFailures > 0 && now.Sub(targetHealth.failedAt) < failureBackoff*time.Duration(min(targetHealth.consecutiveFailures, 4)):
@@ -256,9 +267,9 @@
 	targetHealth.inFlight = append(targetHealth.inFlight, attempt)
 }
 
-// RecordEnd records the outcome of the attempt with the ID; load is nil if the target reported none. An attempt that is
-// not in flight is ignored.
-func (selector *Selector) RecordEnd(now time.Time, target catalogue.Target, attemptID uint64, outcome Outcome, load *Load) {
+// RecordEnd records the outcome of the attempt with the ID and what the target reported with it. An attempt that is not in
+// flight is ignored.
+func (selector *Selector) RecordEnd(now time.Time, target catalogue.Target, attemptID uint64, outcome Outcome, report Report) {
 	targetHealth := selector.targetHealth(target.ID)
 	index := slices.IndexFunc(targetHealth.inFlight, func(attempt Attempt) bool { return attempt.ID == attemptID })
 	if index < 0 {
@@ -267,9 +278,12 @@
 	attempt := targetHealth.inFlight[index]
 	targetHealth.inFlight = slices.Delete(targetHealth.inFlight, index, index+1)
 	targetHealth.lastUsed = now
-	if load != nil {
-		targetHealth.load, targetHealth.loadAt = *load, now
-		targetHealth.adaptWindow(now, *load)
+	if report.Load != nil {
+		targetHealth.load, targetHealth.loadAt = *report.Load, now
+		targetHealth.adaptWindow(now, *report.Load)
+	}
+	if report.Quiet > 0 {
+		selector.noteQuiet(now, target, targetHealth, report.Quiet)
 	}
 	latencyHistogram := selector.latencyHistogram(attempt.Route)
 	waited := now.Sub(attempt.SentAt)
@@ -351,7 +365,7 @@
 		}
 	}
 	for id, targetHealth := range selector.targets {
-		if len(targetHealth.inFlight) == 0 && now.Sub(targetHealth.lastUsed) >= idleTTL {
+		if len(targetHealth.inFlight) == 0 && !now.Before(targetHealth.quietUntil) && now.Sub(targetHealth.lastUsed) >= idleTTL {
 			delete(selector.targets, id)
 		}
 	}
--- a/reel/choice/selector_test.go
+++ b/reel/choice/selector_test.go
@@ -41,7 +41,7 @@
 func serve(selector *Selector, from int, target catalogue.Target, count, latency int) int {
 	for range count {
 		selector.RecordSent(at(from), target.ID, Attempt{ID: uint64(from), Route: route.Name, SentAt: at(from)})
-		selector.RecordEnd(at(from+latency), target, uint64(from), Answered, nil)
+		selector.RecordEnd(at(from+latency), target, uint64(from), Answered, Report{})
 		from += latency + 1
 	}
 	return from
@@ -62,7 +62,7 @@
 	t.Run("target whose address another process uses is not selected", func(t *testing.T) {
 		selector, all := newSelector(), targets()
 		selector.RecordSent(at(0), all[0].ID, Attempt{ID: 1, Route: route.Name, SentAt: at(0)})
-		selector.RecordEnd(at(3), all[0], 1, Misdirected, nil)
+		selector.RecordEnd(at(3), all[0], 1, Misdirected, Report{})
 		for now := 4; now < 9000; now += 500 {
 			if pick, ok := selector.Choose(at(now), route, all, service, nil, always); !ok || pick.Target.ID == "in-a" {
 				t.Fatalf("picked %q at %d ms", pick.Target.ID, now)
@@ -75,7 +75,7 @@
 	t.Run("new process of a misdirected target is selected", func(t *testing.T) {
 		selector, all := newSelector(), targets()
 		selector.RecordSent(at(0), all[0].ID, Attempt{ID: 1, Route: route.Name, SentAt: at(0)})
-		selector.RecordEnd(at(3), all[0], 1, Misdirected, nil)
+		selector.RecordEnd(at(3), all[0], 1, Misdirected, Report{})
 		all[0].Born = 5
 		if pick, ok := selector.Choose(at(10), route, all[:1], service, nil, always); !ok || pick.Target.ID != "in-a" {
 			t.Error("target was not selected")
@@ -95,7 +95,7 @@
 		now := serve(selector, 0, all[0], 60, 20)
 		for i := range 5 {
 			selector.RecordSent(at(now), all[0].ID, Attempt{ID: uint64(i), Route: route.Name, SentAt: at(now)})
-			selector.RecordEnd(at(now+160), all[0], uint64(i), Abandoned, nil)
+			selector.RecordEnd(at(now+160), all[0], uint64(i), Abandoned, Report{})
 		}
 		selector.Choose(at(now+161), route, all, service, nil, always) // the probe
 		if pick, _ := selector.Choose(at(now+162), route, all, service, nil, always); pick.Target.ID == "in-a" {
@@ -111,7 +111,7 @@
 				outcome = Failed
 			}
 			selector.RecordSent(at(now), all[0].ID, Attempt{ID: uint64(i), Route: route.Name, SentAt: at(now)})
-			selector.RecordEnd(at(now+20), all[0], uint64(i), outcome, nil)
+			selector.RecordEnd(at(now+20), all[0], uint64(i), outcome, Report{})
 			now += 21
 		}
 		selector.Choose(at(now), route, all, service, nil, always) // the probe
--- a/reel/query/end.go
+++ b/reel/query/end.go
@@ -10,6 +10,7 @@
 // Reasons for sending no attempt to a service.
 const (
 	reasonNoTargets = "no target is registered for the service"
+	reasonQuiet     = "all targets of the service want no requests for a time"
 	reasonSaturated = "most recent requests to the service found no target with free capacity in time"
 )
 
@@ -29,6 +30,8 @@
 		switch {
 		case !machine.router.HasTargets(part.service):
 			part.skipReason, part.failed = reasonNoTargets, true
+		case machine.isQuiet(now, part):
+			retryAfter = max(retryAfter, machine.quietRetryAfter)
 		case saturated && !machine.hasCapacity(now, part):
 			part.skipReason, part.failed = reasonSaturated, true
 			retryAfter = max(retryAfter, min(saturatedFor, maxRetryAfter))
@@ -42,6 +45,18 @@
 	return Finish{}, false
 }
 
+// isQuiet reports whether all targets of the part's service want no requests until after the part may wait. It fails such
+// a part.
+func (machine *Machine) isQuiet(now time.Time, part *part) bool {
+	quiet := machine.router.QuietFor(now, part.service)
+	if quiet == 0 || now.Add(quiet).Before(machine.waitUntil()) {
+		return false
+	}
+	part.skipReason, part.failed = reasonQuiet, true
+	machine.quietRetryAfter = max(machine.quietRetryAfter, min(quiet, maxRetryAfter))
+	return true
+}
+
 // hasCapacity reports whether any target of the part's service has free capacity now.
 func (machine *Machine) hasCapacity(now time.Time, part *part) bool {
 	_, ok := machine.router.Choose(now, machine.plan.Route, part.service, nil)
@@ -140,7 +155,7 @@
 func (machine *Machine) failureFinish(reason string) Finish {
 	switch {
 	case !machine.mayHaveRun():
-		return Finish{Code: result.NoTarget, RetryAfter: retryAfterShort, Reason: reason}
+		return Finish{Code: result.NoTarget, RetryAfter: max(retryAfterShort, machine.quietRetryAfter), Reason: reason}
 	case machine.targetError != nil && !machine.isScatterGather():
 		return Finish{Code: result.Relayed, Answer: machine.targetError, Reason: reason}
 	default:
--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -45,11 +45,12 @@
 	targetError     *Answer // newest error response of a target that may have run the request
 	endedMayHaveRun bool    // whether an attempt that has ended ran or may have run
 	finished        bool
-	proven          bool      // whether any target ran the request, which shows that it does not crash each one
-	extras          int       // extra attempts in flight
-	trial           bool      // whether the request may have crashed a target before and has only one attempt until it is proven
-	suspect         bool      // whether the request began as a trial
-	trialUntil      time.Time // when a trial without an answer ends
+	proven          bool          // whether any target ran the request, which shows that it does not crash each one
+	extras          int           // extra attempts in flight
+	trial           bool          // whether the request may have crashed a target before and has only one attempt until it is proven
+	suspect         bool          // whether the request began as a trial
+	trialUntil      time.Time     // when a trial without an answer ends
+	quietRetryAfter time.Duration // until a service takes requests again whose targets want none now
 }
 
 // attempt is an attempt in flight.
@@ -293,11 +294,10 @@
 		part.skipReason, part.failed = reasonNoTargets, true
 		return nil
 	}
-	waitUntil := machine.plan.SoftDeadline
-	if !machine.isScatterGather() {
-		waitUntil = machine.plan.Start.Add(machine.plan.SoftDeadline.Sub(machine.plan.Start) / capacityWaitDivisor)
+	if machine.isQuiet(now, part) {
+		return nil
 	}
-	if !now.Before(waitUntil) {
+	if !now.Before(machine.waitUntil()) {
 		part.failed = true
 		machine.router.RecordWait(now, part.service, true)
 		return nil
@@ -306,6 +306,14 @@
 	return nil
 }
 
+// waitUntil returns until when a part may wait for a target with free capacity.
+func (machine *Machine) waitUntil() time.Time {
+	if machine.isScatterGather() {
+		return machine.plan.SoftDeadline
+	}
+	return machine.plan.Start.Add(machine.plan.SoftDeadline.Sub(machine.plan.Start) / capacityWaitDivisor)
+}
+
 // hedgeDelay returns how long to wait for an answer before a hedge is considered: longer than most answers take, and
 // as long as a hedge that is sent then can still meet the soft deadline.
 func (machine *Machine) hedgeDelay(now time.Time) time.Duration {
--- a/reel/query/query_test.go
+++ b/reel/query/query_test.go
@@ -32,7 +32,7 @@
 // newSession returns a session of a request with its soft deadline at 190 ms and its deadline at 1200 ms.
 func newSession(t *testing.T, route catalogue.Route) *session {
 	t.Helper()
-	session := &session{t: t, router: &router{budget: 100, requests: map[string]int{}}}
+	session := &session{t: t, router: &router{budget: 100, requests: map[string]int{}, quiet: map[string]time.Duration{}}}
 	route.Goal = 200 * ms
 	plan := Plan{Route: &route, Services: route.ServiceNames(), Start: epoch, SoftDeadline: at(190), Deadline: at(1200)}
 	attemptID := uint64(0)
@@ -317,6 +317,43 @@
 		session.succeed(30, session.sends)
 		session.assertEnd(result.Partial)
 	})
+	t.Run("a request is refused at once while all targets want no requests, with the time to come back", func(t *testing.T) {
+		session := newSession(t, single(true))
+		session.router.quiet["desk"] = 700 * time.Millisecond
+		session.begin()
+		session.assertSends(0)
+		session.assertEnd(result.NoTarget)
+		if session.finish.RetryAfter != 700*time.Millisecond {
+			t.Errorf("Retry-After is %v, want the time until a target takes requests", session.finish.RetryAfter)
+		}
+	})
+	t.Run("shards whose targets want no requests are not waited for", func(t *testing.T) {
+		session := newSession(t, scatterGather(10, 0.75))
+		session.router.quiet["shard-1"], session.router.quiet["shard-2"] = time.Second, time.Hour
+		session.begin()
+		session.assertSends(8)
+		session.succeed(30, session.sends)
+		session.assertEnd(result.Partial)
+	})
+	t.Run("a short wish for no requests is waited for", func(t *testing.T) {
+		session := newSession(t, scatterGather(10, 1))
+		session.router.quiet["shard-1"] = 30 * time.Millisecond
+		session.begin()
+		session.assertOpen()
+		delete(session.router.quiet, "shard-1")
+		session.wake(40)
+		session.assertSends(10)
+	})
+	t.Run("a request whose last target asks for quiet while it refuses is refused at once", func(t *testing.T) {
+		session := newSession(t, single(true))
+		session.begin()
+		session.router.quiet["desk"] = 2 * time.Second
+		session.answer(10, session.sends[0], refused)
+		session.assertEnd(result.NoTarget)
+		if session.finish.RetryAfter != 2*time.Second {
+			t.Errorf("Retry-After is %v, want the time until a target takes requests", session.finish.RetryAfter)
+		}
+	})
 	t.Run("a wait for free capacity that times out is recorded", func(t *testing.T) {
 		session := newSession(t, single(true))
 		session.router.full = true
--- a/reel/query/router_test.go
+++ b/reel/query/router_test.go
@@ -14,12 +14,13 @@
 
 // router is a fake Router with three targets for each service.
 type router struct {
-	full       bool           // whether no target has free capacity
-	empty      []string       // services without a registered target
-	saturated  []string       // services that are saturated and whose targets have no free capacity
-	budget     int            // extra attempts allowed
-	timedOut   []string       // services for which a request timed out waiting for a target
-	requests   map[string]int // by service
+	full       bool                     // whether no target has free capacity
+	empty      []string                 // services without a registered target
+	quiet      map[string]time.Duration // services whose targets all want no requests for some time
+	saturated  []string                 // services that are saturated and whose targets have no free capacity
+	budget     int                      // extra attempts allowed
+	timedOut   []string                 // services for which a request timed out waiting for a target
+	requests   map[string]int           // by service
 	extraSpent int
 	verdict    quarantine.Verdict
 }
@@ -27,7 +28,7 @@
 func (router *router) Choose(_ time.Time, _ *catalogue.Route, service string, tried []string) (choice.Pick, bool) {
 	for i := range 3 {
 		id := fmt.Sprintf("%s/%d", service, i)
-		if !router.full && router.HasTargets(service) && !slices.Contains(router.saturated, service) && !slices.Contains(tried, id) {
+		if !router.full && router.HasTargets(service) && !slices.Contains(router.saturated, service) && router.quiet[service] == 0 && !slices.Contains(tried, id) {
 			return choice.Pick{Target: catalogue.Target{ID: id, Address: netip.AddrPort{}}}, true
 		}
 	}
@@ -36,6 +37,10 @@
 
 func (router *router) HasTargets(service string) bool { return !slices.Contains(router.empty, service) }
 
+func (router *router) QuietFor(_ time.Time, service string) time.Duration {
+	return router.quiet[service]
+}
+
 func (router *router) Saturated(_ time.Time, service string) (time.Duration, bool) {
 	return 2 * time.Second, slices.Contains(router.saturated, service)
 }
--- a/shallotreel/cataloguesync/cataloguesync.go
+++ b/shallotreel/cataloguesync/cataloguesync.go
@@ -20,6 +20,13 @@
 	Process uint64 // incarnation of the peer that issued Serial; 0 requests the whole catalogue
 	Serial  uint64
 	Hold    time.Duration // how long the peer may wait for a change before it answers
+	Leaving []Leaving     // targets whose answers said so since the last query
+}
+
+// Leaving identifies a process of a target that said in an answer that it leaves.
+type Leaving struct {
+	ID   string
+	Born int64 // start of the process in milliseconds since the Unix epoch
 }
 
 // Reply contains the changes to the catalogue and the age of the peer's data.
--- a/shallotreel/crashwatch/simulated_instance_test.go
+++ b/shallotreel/crashwatch/simulated_instance_test.go
@@ -157,6 +157,9 @@
 	return len(instance.View().Targets(service)) > 0
 }
 
+// QuietFor implements query.Router.
+func (instance *instance) QuietFor(time.Time, string) time.Duration { return 0 }
+
 // Saturated implements query.Router.
 func (instance *instance) Saturated(time.Time, string) (time.Duration, bool) { return 0, false }
 
--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -40,7 +40,8 @@
 	storeFailing   bool
 	onReady        func() // called once, when the first configuration is applied
 	onTargetChange func(catalogue.Change)
-	skipped        cursor.Position // of the newest configuration in the store that was not applied
+	leaving        []cataloguesync.Leaving // targets to report to the peer that reads the store; guarded by mutex
+	skipped        cursor.Position         // of the newest configuration in the store that was not applied
 }
 
 // Messages that the actor receives.
@@ -53,6 +54,7 @@
 	}
 	watchEvents    struct{ response platform.StoreResponse }
 	storeRestored  struct{ from, to uint64 } // eras
+	targetsLeave   struct{ leaving []cataloguesync.Leaving }
 	peerDelta      struct{ reply cataloguesync.Reply }
 	bootstrapDelta struct{ reply cataloguesync.Reply } // possibly stale; used only until a configuration is applied
 	deltaRequest   struct{ serial uint64 }
@@ -145,6 +147,12 @@
 	case storeRestored:
 		feed.catalogue.StoreRestored(now)
 		feed.logRestored(message)
+	case targetsLeave:
+		for _, target := range message.leaving {
+			if change, ok := feed.catalogue.Leave(target.ID, target.Born); ok {
+				feed.logChanges(change)
+			}
+		}
 	case peerDelta:
 		feed.applyPeerDelta(now, message.reply)
 	case bootstrapDelta:
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -77,11 +77,13 @@
 // readPeer reads the next changes from the peer.
 func (feed *Feed) readPeer(cursor *cursor.Cursor, client *cataloguesync.Client, peer netip.AddrPort) {
 	era, last := cursor.Position().Era, cursor.Peer()
-	query := cataloguesync.Query{Process: last.Process, Serial: last.Serial, Hold: peerPollTimeout}
+	query := cataloguesync.Query{Process: last.Process, Serial: last.Serial, Hold: peerPollTimeout,
+		Leaving: feed.takeLeaving()}
 	reply, err := client.Fetch(peer, query, peerTimeout)
 	var pause time.Duration
 	if err != nil {
 		cursor.FailPeer(time.Now())
+		feed.returnLeaving(query.Leaving)
 	} else {
 		pause, err = cursor.ReadPeer(time.Now(), describe(reply))
 	}
--- a/shallotreel/feed/serve.go
+++ b/shallotreel/feed/serve.go
@@ -31,6 +31,9 @@
 // process. It waits for a change for at most the query's Hold, capped at half a second. If the catalogue cannot be
 // read, the reply's Age is so high that the peer discards the reply.
 func (feed *Feed) Since(query cataloguesync.Query) cataloguesync.Reply {
+	if len(query.Leaving) > 0 {
+		feed.root.Send(feed.pid, targetsLeave{query.Leaving})
+	}
 	serial := query.Serial
 	if query.Process != feed.incarnation {
 		serial = 0
--- a/shallotreel/ingress/handler.go
+++ b/shallotreel/ingress/handler.go
@@ -25,7 +25,7 @@
 
 // Handler is the HTTP handler for callers' requests.
 type Handler struct {
-	catalogue          Catalogue
+	catalogue          Registry
 	router             *Router
 	pool               *connpool.Pool
 	crashes            *crashwatch.Watch
@@ -34,6 +34,13 @@
 	running            atomic.Int64
 }
 
+// Registry provides the newest view of routes and targets, and learns what targets say of themselves.
+type Registry interface {
+	Catalogue
+	// RecordLeaving records that the process of the target said that it takes no new work.
+	RecordLeaving(target catalogue.Target)
+}
+
 // Recorder receives the record of each request when it has ended.
 type Recorder interface{ Record(record Record) }
 
@@ -69,7 +76,7 @@
 }
 
 // New returns a handler that takes its view of routes and targets from the catalogue.
-func New(catalogue Catalogue, router *Router, pool *connpool.Pool, crashes *crashwatch.Watch, recorder Recorder) *Handler {
+func New(catalogue Registry, router *Router, pool *connpool.Pool, crashes *crashwatch.Watch, recorder Recorder) *Handler {
 	return &Handler{catalogue: catalogue, router: router, pool: pool, crashes: crashes, recorder: recorder}
 }
 
--- a/shallotreel/ingress/handler_test.go
+++ b/shallotreel/ingress/handler_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,10 +27,15 @@
 )
 
 // fixed is a Catalogue whose view never changes.
-type fixed struct{ view *catalogue.View }
+type fixed struct {
+	view    *catalogue.View
+	leaving *sync.Map // by id of the target
+}
 
 func (fixed fixed) View() *catalogue.View { return fixed.view }
 
+func (fixed fixed) RecordLeaving(target catalogue.Target) { fixed.leaving.Store(target.ID, true) }
+
 // records is a Recorder that keeps the last record.
 type records struct{ last atomic.Pointer[Record] }
 
@@ -41,6 +47,7 @@
 	records *records
 	runs    atomic.Int64 // requests that targets received
 	tracker *quarantine.Tracker
+	leaving sync.Map // targets that said so, by id
 }
 
 // newFixture returns a fixture whose targets answer with the handler function.
@@ -69,7 +76,7 @@
 
 func (fixture *fixture) serve(targetCatalogue *catalogue.Catalogue) {
 	pool := connpool.NewPool()
-	view := fixed{targetCatalogue.View()}
+	view := fixed{targetCatalogue.View(), &fixture.leaving}
 	limits := extra.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 58}
 	router := NewRouter(view, pool, limits, "a", rand.New(rand.NewPCG(1, 2)), func(choice.HealthChange) {})
 	fixture.tracker = &quarantine.Tracker{}
--- a/shallotreel/ingress/router.go
+++ b/shallotreel/ingress/router.go
@@ -71,6 +71,14 @@
 	return len(router.catalogue.View().Targets(service)) > 0
 }
 
+// QuietFor returns for how long all targets of the service want no request from this instance, or 0 if any takes one.
+func (router *Router) QuietFor(now time.Time, service string) time.Duration {
+	targets := router.catalogue.View().Targets(service)
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	return router.selector.QuietFor(now, targets)
+}
+
 // Saturated reports whether most recent requests to the service found no target with free capacity in time, and for
 // how long this has been so.
 func (router *Router) Saturated(now time.Time, service string) (time.Duration, bool) {
@@ -151,11 +159,11 @@
 	router.selector.RecordSent(now, target, attempt)
 }
 
-// recordEnd records the end of an attempt and the load that its target reported, if any.
-func (router *Router) recordEnd(now time.Time, target catalogue.Target, attemptID uint64, outcome choice.Outcome, load *choice.Load) {
+// recordEnd records the end of an attempt and what its target reported with it.
+func (router *Router) recordEnd(now time.Time, target catalogue.Target, attemptID uint64, outcome choice.Outcome, report choice.Report) {
 	router.mutex.Lock()
 	defer router.unlockAndNotify()
-	router.selector.RecordEnd(now, target, attemptID, outcome, load)
+	router.selector.RecordEnd(now, target, attemptID, outcome, report)
 }
 
 // unlockAndNotify releases the lock and then passes the health changes that the selector has collected to
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -124,10 +124,13 @@
 // handleResult records the end of a call for its target and passes it to the request. It may run on any
 // goroutine, usually that of the connection.
 func (run *run) handleResult(send query.Send, ended connpool.Result) {
-	answer, load, outcome := run.classify(ended)
+	answer, report, outcome := run.classify(ended)
 	answer.AttemptID = send.AttemptID
 	now := time.Now()
-	run.handler.router.recordEnd(now, send.Pick.Target, send.AttemptID, outcome, load)
+	run.handler.router.recordEnd(now, send.Pick.Target, send.AttemptID, outcome, report)
+	if report.Leaving {
+		run.handler.catalogue.RecordLeaving(send.Pick.Target)
+	}
 	run.watchForCrash(now, send, ended, answer)
 	select {
 	case run.answers <- answer:
@@ -136,7 +139,7 @@
 }
 
 // classify translates the end of a call for the machine and for the selection of targets.
-func (run *run) classify(ended connpool.Result) (*query.Answer, *choice.Load, choice.Outcome) {
+func (run *run) classify(ended connpool.Result) (*query.Answer, choice.Report, choice.Outcome) {
 	if ended.Err != nil {
 		answer := &query.Answer{Sent: ended.Sent, Refused: ended.Listens == connpool.Refused, Cause: ended.Err.Error()}
 		if ended.Sent {
@@ -144,23 +147,23 @@
 		}
 		switch ended.Err {
 		case connpool.ErrCanceled:
-			return answer, nil, choice.Abandoned
+			return answer, choice.Report{}, choice.Abandoned
 		case connpool.ErrConnectionLimit:
-			return answer, nil, choice.ConnectionsExhausted
+			return answer, choice.Report{}, choice.ConnectionsExhausted
 		default:
-			return answer, nil, choice.Failed
+			return answer, choice.Report{}, choice.Failed
 		}
 	}
-	answer, load := run.outbound.ParseResponse(ended.Response, ended.Body)
+	answer, report := run.outbound.ParseResponse(ended.Response, ended.Body)
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest:
-		return answer, load, choice.Misdirected
+		return answer, report, choice.Misdirected
 	case answer.Execution == query.NotRun:
-		return answer, load, choice.Refused
+		return answer, report, choice.Refused
 	case answer.Status == 0 || answer.Status >= http.StatusInternalServerError:
-		return answer, load, choice.Failed
+		return answer, report, choice.Failed
 	default:
-		return answer, load, choice.Answered
+		return answer, report, choice.Answered
 	}
 }
 
