Callers: send them to a working set of each data centre

Change: address answers name the larger instances of the caller's data centre, as many as bear the load that members announce. A target's connections are shared by the working sets, one is left to each other instance.

Not proved: that a burst is borne, other than in virtual time.

--- a/reel/choice/selector.go
+++ b/reel/choice/selector.go
@@ -26,6 +26,7 @@
 	loadReportTTL       = 300 * time.Millisecond // age above which a load report is ignored
 	remoteCost          = 3.0                    // cost added to targets of other data centres, in usual latencies of the route
 	nearConnectionShare = 0.7                    // share of a target's connections for the instances of its own data centre
+	workingShare        = 0.9                    // share of a target's connections for the instances that serve callers, if there are others
 	farConnectionShare  = 0.3                    // share for all other instances, which seldom need all of theirs at once
 	misdirectedBackoff  = 10 * time.Second       // time for which a target is excluded after another process answered at its address
 	idleTTL             = time.Minute            // time without use after which statistics are deleted
@@ -59,8 +60,10 @@
 // Fleet describes the instances that share the connections of the targets.
 type Fleet struct {
 	DataCentre string         // this instance's data centre
-	Instances  map[string]int // number of instances by data centre
-	Total      int            // number of instances in all data centres
+	Instances  map[string]int // number of instances that serve callers, by data centre
+	Total      int            // number of these in all data centres
+	Spare      int            // number of other instances, to which callers are not sent
+	Idle       bool           // whether this instance is one of the spare ones
 }
 
 // Selector keeps statistics about each target and selects targets by them. The caller passes the current time, and must
@@ -233,6 +236,9 @@
 // the service. The service's limit is divided between the instances of the target's data centre and all others.
 // Instances without a candidate in their own data centre count as near to every target.
 func (selector *Selector) ConnectionLimit(target catalogue.Target, service catalogue.Service, candidates []catalogue.Target) int {
+	if selector.fleet.Idle {
+		return 1
+	}
 	near := 0
 	for centre, instances := range selector.fleet.Instances {
 		if centre == target.DataCentre || !hasTargetIn(candidates, centre) {
@@ -242,6 +248,9 @@
 	far := selector.fleet.Total - near
 	isNear := target.DataCentre == selector.fleet.DataCentre || !hasTargetIn(candidates, selector.fleet.DataCentre)
 	connections := float64(service.MaxConnections)
+	if selector.fleet.Spare > 0 {
+		connections *= workingShare
+	}
 	switch {
 	case isNear && far == 0, !isNear && near == 0:
 	case isNear:
--- a/reel/choice/selector_test.go
+++ b/reel/choice/selector_test.go
@@ -132,6 +132,28 @@
 	})
 }
 
+// TestConnectionLimitOfSpareInstances checks that the instances that callers are sent to share nearly all connections,
+// and that the others keep one each for callers with old addresses.
+func TestConnectionLimitOfSpareInstances(t *testing.T) {
+	all := targets()
+	for _, test := range []struct {
+		name string
+		idle bool
+		want int
+	}{
+		{"an instance that callers are sent to", false, 26}, // of 125, nine tenths, of them seven tenths for three instances
+		{"another one", true, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			selector := newSelector()
+			selector.SetFleet(Fleet{DataCentre: "a", Instances: map[string]int{"a": 3, "b": 3, "c": 3}, Total: 9, Spare: 90, Idle: test.idle})
+			if got := selector.ConnectionLimit(all[0], catalogue.Service{MaxConnections: 125}, all); got != test.want {
+				t.Errorf("%d connections, want %d", got, test.want)
+			}
+		})
+	}
+}
+
 func TestConnectionLimit(t *testing.T) {
 	all := targets()
 	limit := func(dataCentre string, target catalogue.Target, maxConnections int, candidates []catalogue.Target) int {
--- a/reel/member/member.go
+++ b/reel/member/member.go
@@ -120,6 +120,16 @@
 	return Output{Sends: machine.gossip(now)}
 }
 
+// SetLoad changes the load of this instance and announces it to the peers.
+func (machine *Machine) SetLoad(now time.Time, load Load) Output {
+	if machine.self.Load == load {
+		return Output{}
+	}
+	machine.self.Load = load
+	machine.incrementVersion()
+	return Output{Sends: machine.gossip(now)}
+}
+
 // Receive handles a message from a peer.
 func (machine *Machine) Receive(now time.Time, message Message) Output {
 	if message.From.Name == machine.self.Name && message.From.Incarnation == machine.self.Incarnation {
--- a/reel/member/messages.go
+++ b/reel/member/messages.go
@@ -68,6 +68,8 @@
 	Incarnation uint64         `msgpack:"i" json:"incarnation"`
 	Version     uint64         `msgpack:"v" json:"version"`
 	State       State          `msgpack:"s" json:"state"`
+	Processor   uint32         `msgpack:"k,omitempty" json:"processor,omitempty"` // share in thousandths of a core, 0 if unknown
+	Load        Load           `msgpack:"l,omitempty" json:"load,omitempty"`      // use of the processor for callers
 }
 
 // Newer reports whether the description supersedes the other: it compares the
--- a/reel/quarantine/quarantine.go
+++ b/reel/quarantine/quarantine.go
@@ -194,8 +194,8 @@
 		tracker.trusted[fingerprint] = trust
 	}
 	mark := tracker.currentMark(now, fingerprint)
-	if mark.Version == 0 || mark.Complete {
-		return mark, false
+	if len(mark.Losses) == 0 || mark.Complete {
+		return mark, false // a mark without losses restricts nothing, so its change is not worth a message
 	}
 	mark.Complete = true
 	mark.Version++
--- a/shallotreel/front/address.go
+++ b/shallotreel/front/address.go
@@ -3,9 +3,15 @@
 import (
 	"net/http"
 	"net/netip"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
 
 	"shallotreel.example/platform"
 	"shallotreel.example/reel/member"
+	"shallotreel.example/reel/workingset"
 )
 
 // minLocalAddresses is the number of addresses in the caller's data centre from which
@@ -46,22 +52,50 @@
 	_, _ = writer.Write(body) // a caller that closed the connection repeats its query
 }
 
-// addressesFor returns the addresses of the instances in the caller's data centre that
-// accept requests, or of those in all data centres if there are fewer than
-// minLocalAddresses.
+// addressesFor returns the addresses of the working set of the caller's data centre, or of all data centres if it has
+// fewer than minLocalAddresses.
 func addressesFor(members []member.Member, dataCentre string) []netip.AddrPort {
-	var near, all []netip.AddrPort
-	for _, member := range members {
-		if !member.State.Serves() {
-			continue
-		}
-		all = append(all, member.Caller)
-		if member.DataCentre == dataCentre {
-			near = append(near, member.Caller)
+	addresses := callerAddresses(workingset.Of(members, dataCentre))
+	if len(addresses) < minLocalAddresses {
+		addresses = nil
+		for _, centre := range dataCentres(members) {
+			addresses = append(addresses, callerAddresses(workingset.Of(members, centre))...)
 		}
 	}
-	if len(near) >= minLocalAddresses {
-		all = near
+	return addresses[:min(len(addresses), maxAddresses)]
+}
+
+func callerAddresses(members []member.Member) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, member := range members {
+		addresses = append(addresses, member.Caller)
+	}
+	return addresses
+}
+
+// dataCentres returns the names of the data centres of the members, in order.
+func dataCentres(members []member.Member) []string {
+	var names []string
+	for _, member := range members {
+		names = append(names, member.DataCentre)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// announceLoad announces how much of its processor this instance uses, by which all instances decide which of them callers
+// are sent to.
+func (front *Front) announceLoad(now time.Time, meter *workingset.Meter) {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		front.log.WithError(err).Error("cannot measure the use of the processor")
+		return
+	}
+	used := time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	load, changed := meter.Observe(now, used, front.handler.Requests())
+	if !changed {
+		return
 	}
-	return all[:min(len(all), maxAddresses)]
+	front.roster.SetLoad(load)
+	front.log.WithFields(logrus.Fields{"level": load, "millicores": int(load.Use()), "running": front.handler.Running()}).Info("load changed")
 }
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -27,6 +27,7 @@
 	"shallotreel.example/reel/choice"
 	"shallotreel.example/reel/member"
 	"shallotreel.example/reel/quarantine"
+	"shallotreel.example/reel/workingset"
 	"shallotreel.example/shallotreel/cataloguesync"
 	"shallotreel.example/shallotreel/connpool"
 	"shallotreel.example/shallotreel/crashwatch"
@@ -44,6 +45,7 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10               // bytes
+	thousandths       = 1000                   // of a core
 	gcPercent         = 50                     // GOGC value; uses a third less memory than 150, for a seventh more CPU time
 	addressTTL        = 5 * time.Second        // for which callers keep an address, unless the settings limit it further
 	maxAddresses      = 64                     // in one answer to an address query
@@ -72,6 +74,7 @@
 	reporter     tallyprom.Reporter
 	scope        tally.Scope
 	closer       io.Closer
+	self         member.Member // as this instance joins the fleet
 }
 
 // Start applies the settings, listens on their addresses and starts the instance. It
@@ -113,19 +116,20 @@
 		return rand.New(rand.NewPCG(binary.BigEndian.Uint64(seed[:]), binary.BigEndian.Uint64(seed[8:])))
 	}
 	config := front.settings.Load()
-	front.router = ingress.NewRouter(front, front.pool, config.Extra.Limits(), config.DataCentre, random(), front.logHealthChange)
-	self := member.Member{Name: config.Name, DataCentre: config.DataCentre, Caller: config.CallerAddress,
-		Peer: config.PeerAddress, Incarnation: uint64(time.Now().UnixMilli()), State: member.Joining}
+	front.self = member.Member{Name: config.Name, DataCentre: config.DataCentre, Caller: config.CallerAddress,
+		Peer: config.PeerAddress, Incarnation: uint64(time.Now().UnixMilli()), State: member.Joining,
+		Processor: uint32(thousandths * config.Processor)}
+	front.router = ingress.NewRouter(front, front.pool, config.Extra.Limits(), front.self, random(), front.logHealthChange)
 	tracker := &quarantine.Tracker{}
 	front.crashes = crashwatch.New(tracker, front, front.replicateMark, front.log, front.scope)
 	var err error
-	front.roster, err = roster.Listen(front.ctx, front.system, roster.Config{Self: self, Seeds: config.Seeds,
+	front.roster, err = roster.Listen(front.ctx, front.system, roster.Config{Self: front.self, Seeds: config.Seeds,
 		Log: front.log, Random: random(), OnChange: front.router.SetMembers, Tracker: tracker, OnMark: front.logMark})
 	if err != nil {
 		return err
 	}
 	front.feed = feed.New(front.ctx, front.system, feed.Config{Store: platform.NewStore(config.StoreAddress, storeDialTimeout),
-		Peers: front.roster, Incarnation: self.Incarnation, Log: front.log, OnReady: front.markReady,
+		Peers: front.roster, Incarnation: front.self.Incarnation, Log: front.log, OnReady: front.markReady,
 		OnTargetChange: func(change catalogue.Change) { front.crashes.TargetChanged(time.Now(), change) }})
 	if front.syncServer, err = cataloguesync.Serve(config.PeerAddress, front.feed); err != nil {
 		return err
@@ -172,6 +176,7 @@
 func (front *Front) maintain() {
 	ticker := time.NewTicker(sweepPeriod)
 	defer ticker.Stop()
+	meter := workingset.NewMeter(front.self)
 	crashTicker := time.NewTicker(crashPeriod)
 	defer crashTicker.Stop()
 	for {
@@ -183,6 +188,7 @@
 		case now := <-ticker.C:
 			front.pool.Sweep(now)
 			front.router.Sweep(now)
+			front.announceLoad(now, meter)
 			front.updateGauges()
 		}
 	}
--- a/shallotreel/ingress/handler.go
+++ b/shallotreel/ingress/handler.go
@@ -32,6 +32,7 @@
 	recorder           Recorder
 	keepAlivesDisabled atomic.Bool
 	running            atomic.Int64
+	requests           atomic.Int64
 }
 
 // Registry provides the newest view of routes and targets, and learns what targets say of themselves.
@@ -87,10 +88,14 @@
 // Running returns the number of requests in progress.
 func (handler *Handler) Running() int64 { return handler.running.Load() }
 
+// Requests returns the number of requests since the start.
+func (handler *Handler) Requests() int64 { return handler.requests.Load() }
+
 // ServeHTTP serves one request of a caller.
 func (handler *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	start := time.Now()
 	handler.running.Add(1)
+	handler.requests.Add(1)
 	defer handler.running.Add(-1)
 	if handler.keepAlivesDisabled.Load() {
 		writer.Header().Set("Connection", "close")
--- a/shallotreel/ingress/handler_test.go
+++ b/shallotreel/ingress/handler_test.go
@@ -20,6 +20,7 @@
 	"shallotreel.example/reel/catalogue"
 	"shallotreel.example/reel/choice"
 	"shallotreel.example/reel/extra"
+	"shallotreel.example/reel/member"
 	"shallotreel.example/reel/quarantine"
 	"shallotreel.example/reel/result"
 	"shallotreel.example/shallotreel/connpool"
@@ -78,7 +79,7 @@
 	pool := connpool.NewPool()
 	view := fixed{targetCatalogue.View(), &fixture.leaving}
 	limits := extra.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 58}
-	router := NewRouter(view, pool, limits, "a", rand.New(rand.NewPCG(1, 2)), func(choice.HealthChange) {})
+	router := NewRouter(view, pool, limits, member.Member{Name: "front", DataCentre: "a"}, rand.New(rand.NewPCG(1, 2)), func(choice.HealthChange) {})
 	fixture.tracker = &quarantine.Tracker{}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/shallotreel/ingress/router.go
+++ b/shallotreel/ingress/router.go
@@ -12,6 +12,7 @@
 	"shallotreel.example/reel/extra"
 	"shallotreel.example/reel/member"
 	"shallotreel.example/reel/softdeadline"
+	"shallotreel.example/reel/workingset"
 	"shallotreel.example/shallotreel/connpool"
 )
 
@@ -30,25 +31,33 @@
 	estimator      *softdeadline.Estimator
 	lastAttemptID  uint64
 	onHealthChange func(choice.HealthChange) // called without the lock when the estimated health of a target or service changes
+	home           member.Member             // name and data centre of this instance
 	maxInstances   int                       // highest number of instances known at one time, by which the slack is divided
 }
 
-// NewRouter returns a router without traffic statistics for an instance in the home data centre. It calls
+// NewRouter returns a router without traffic statistics for the instance home. It calls
 // onHealthChange for each change in the estimated health of a target or service.
-func NewRouter(catalogue Catalogue, pool *connpool.Pool, limits extra.Limits, home string, random *rand.Rand, onHealthChange func(choice.HealthChange)) *Router {
+func NewRouter(catalogue Catalogue, pool *connpool.Pool, limits extra.Limits, home member.Member, random *rand.Rand, onHealthChange func(choice.HealthChange)) *Router {
 	router := &Router{catalogue: catalogue, pool: pool, limits: limits, selector: choice.New(random), onHealthChange: onHealthChange,
-		budgets: map[string]*extra.Budget{}, rotations: map[string]*rotation{}, estimator: softdeadline.New(), maxInstances: 1}
-	router.selector.SetFleet(choice.Fleet{DataCentre: home, Instances: map[string]int{home: 1}, Total: 1})
+		budgets: map[string]*extra.Budget{}, rotations: map[string]*rotation{}, estimator: softdeadline.New(), home: home, maxInstances: 1}
+	router.selector.SetFleet(choice.Fleet{DataCentre: home.DataCentre, Instances: map[string]int{home.DataCentre: 1}, Total: 1})
 	return router
 }
 
-// SetMembers sets the instances that share the targets.
+// SetMembers sets the instances that share the targets. Those outside the working sets get few requests, from callers that
+// keep old addresses, and a small share of the connections.
 func (router *Router) SetMembers(members []member.Member) {
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
-	fleet := choice.Fleet{DataCentre: router.selector.Fleet().DataCentre, Instances: map[string]int{}}
+	fleet := choice.Fleet{DataCentre: router.home.DataCentre, Instances: map[string]int{}}
+	sets := workingset.All(members)
 	for _, member := range members {
-		if member.State.Reachable() {
+		switch {
+		case !member.State.Reachable():
+		case member.State.Serves() && !workingset.Contains(sets[member.DataCentre], member.Name):
+			fleet.Idle = fleet.Idle || member.Name == router.home.Name
+			fleet.Spare++
+		default:
 			fleet.Instances[member.DataCentre]++
 			fleet.Total++
 		}
--- a/shallotreel/roster/roster.go
+++ b/shallotreel/roster/roster.go
@@ -53,6 +53,7 @@
 	ready    struct{}
 	leave    struct{}
 	setSeeds struct{ seeds []netip.AddrPort }
+	setLoad  struct{ load member.Load }
 	newMark  struct{ fingerprint quarantine.Fingerprint }
 )
 
@@ -129,6 +130,9 @@
 // Leave announces to the peers that this instance is leaving.
 func (roster *Roster) Leave() { roster.root.Send(roster.pid, leave{}) }
 
+// SetLoad announces the load of this instance to the peers.
+func (roster *Roster) SetLoad(load member.Load) { roster.root.Send(roster.pid, setLoad{load}) }
+
 // SetSeeds replaces the addresses of the seeds.
 func (roster *Roster) SetSeeds(seeds []netip.AddrPort) { roster.root.Send(roster.pid, setSeeds{seeds}) }
 
@@ -184,6 +188,8 @@
 		roster.apply(roster.machine.Ready(now))
 	case leave:
 		roster.apply(roster.machine.Leave(now))
+	case setLoad:
+		roster.apply(roster.machine.SetLoad(now, message.load))
 	case setSeeds:
 		roster.seeds = message.seeds
 	case newMark:
--- a/shallotreel/settings/front.go
+++ b/shallotreel/settings/front.go
@@ -24,6 +24,7 @@
 	Grace          document.Duration `json:"grace" validate:"gt=0"`     // maximum duration of a graceful stop
 	MaxAddressTTL  document.Duration `json:"keep_most" validate:"gt=0"` // upper limit on the time for which callers keep an address
 	Extra          Extra             `json:"extra"`
+	Processor      float64           `json:"processor,omitempty" validate:"min=0,max=1024"` // share of this process in cores, 0 if unknown
 	LogLevel       string            `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warning error"`
 }
 
@@ -56,6 +57,7 @@
 		{"peer_address", front.PeerAddress == running.PeerAddress},
 		{"metrics_address", front.MetricsAddress == running.MetricsAddress},
 		{"store_address", front.StoreAddress == running.StoreAddress},
+		{"processor", front.Processor == running.Processor},
 		{"log_level", front.LogLevel == running.LogLevel},
 	} {
 		if !field.same {
