Gossip: send each update as often as needed, not three times that

Change: 4 transmissions and the logarithm of the fleet, 12 at 195 instances, in place of three times the logarithm. Each instance receives an update about as often as each sends it; it misses it with a probability of e^-12, and then learns it from the member's next ping.

--- a/reel/gossip/gossip.go
+++ b/reel/gossip/gossip.go
@@ -6,9 +6,10 @@
 	"slices"
 )
 
-// transmitFactor is the number of transmissions of an item, divided by the logarithm
-// of the fleet's size.
-const transmitFactor = 3
+// extraTransmissions is the number of transmissions of an item beyond the logarithm of the
+// fleet's size. An instance receives each item about as often as each sends it, and misses
+// it with a probability that falls exponentially with that number.
+const extraTransmissions = 4
 
 // Queue holds items by key until each was sent the number of times that TransmitLimit
 // returns. Its zero value is an empty queue.
@@ -50,5 +51,5 @@
 
 // TransmitLimit returns how many times an item is sent in a fleet of the given size.
 func TransmitLimit(fleet int) int {
-	return transmitFactor * (1 + bits.Len(uint(fleet)))
+	return extraTransmissions + bits.Len(uint(fleet))
 }
