Simulations: one virtual clock; the timeout of a watch as before

The clock and the heap of events stood twice (reel/cursor, shallotreel/crashwatch); they are reel/virtualtime now. The first, short watch after a stale read had got a shorter timeout with the move to reel/cursor; it has the old one again.

--- a/reel/cursor/fleet_test.go
+++ b/reel/cursor/fleet_test.go
@@ -1,8 +1,6 @@
 package cursor
 
 import (
-	"cmp"
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -14,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"shallotreel.example/reel/catalogue"
+	"shallotreel.example/reel/virtualtime"
 )
 
 const (
@@ -49,10 +48,8 @@
 
 // simulation is a fleet of instances that read one store, in virtual time.
 type simulation struct {
+	virtualtime.Clock
 	random    *rand.Rand
-	now       time.Time
-	events    events
-	order     int
 	era       uint64
 	state     copied
 	copies    []copied
@@ -78,50 +75,14 @@
 	version    uint64
 }
 
-type event struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type events []event
-
-func (events events) Len() int      { return len(events) }
-func (events events) Swap(i, j int) { events[i], events[j] = events[j], events[i] }
-func (events events) Less(i, j int) bool {
-	return cmp.Or(events[i].at.Compare(events[j].at), cmp.Compare(events[i].order, events[j].order)) < 0
-}
-func (events *events) Push(x any) { *events = append(*events, x.(event)) }
-func (events *events) Pop() any {
-	last := len(*events) - 1
-	popped := (*events)[last]
-	*events = (*events)[:last]
-	return popped
-}
-
-func (simulation *simulation) schedule(delay time.Duration, run func()) {
-	simulation.order++
-	heap.Push(&simulation.events, event{simulation.now.Add(delay), simulation.order, run})
-}
-
-func (simulation *simulation) run(duration time.Duration) {
-	end := simulation.now.Add(duration)
-	for len(simulation.events) > 0 && !simulation.events[0].at.After(end) {
-		next := heap.Pop(&simulation.events).(event)
-		simulation.now = next.at
-		next.run()
-	}
-	simulation.now = end
-}
-
 func (simulation *simulation) draw(limit time.Duration) time.Duration {
 	return time.Duration(simulation.random.Int64N(int64(limit)) + 1)
 }
 
 // write writes a key of the store, or tries again later while the store is down. An outdated write is dropped.
 func (simulation *simulation) write(written func() (record, bool)) {
-	if simulation.now.Before(simulation.downUntil) {
-		simulation.schedule(50*time.Millisecond, func() { simulation.write(written) })
+	if simulation.Now.Before(simulation.downUntil) {
+		simulation.Schedule(50*time.Millisecond, func() { simulation.write(written) })
 		return
 	}
 	record, ok := written()
@@ -160,10 +121,10 @@
 	repeat = func() {
 		if target, running := simulation.targets[id]; running && target.Born == born {
 			simulation.report(id)
-			simulation.schedule(beat, repeat)
+			simulation.Schedule(beat, repeat)
 		}
 	}
-	simulation.schedule(beat, repeat)
+	simulation.Schedule(beat, repeat)
 }
 
 func (simulation *simulation) configure() {
@@ -174,33 +135,33 @@
 
 func (simulation *simulation) copyPeriodically() {
 	state := simulation.state
-	simulation.copies = append(simulation.copies, copied{simulation.now, state.revision, maps.Clone(state.items), slices.Clone(state.events)})
-	simulation.schedule(copyPeriod, simulation.copyPeriodically)
+	simulation.copies = append(simulation.copies, copied{simulation.Now, state.revision, maps.Clone(state.items), slices.Clone(state.events)})
+	simulation.Schedule(copyPeriod, simulation.copyPeriodically)
 }
 
 // restore takes the store down and brings it back from a copy. What it has lost is written again.
 func (simulation *simulation) restore(down, age time.Duration) {
 	saved := simulation.copies[0]
 	for _, candidate := range simulation.copies {
-		if simulation.now.Sub(candidate.at) >= age {
+		if simulation.Now.Sub(candidate.at) >= age {
 			saved = candidate
 		}
 	}
 	simulation.era++
 	simulation.state = copied{saved.at, saved.revision, maps.Clone(saved.items), slices.Clone(saved.events)}
 	simulation.copies = []copied{saved}
-	simulation.downUntil = simulation.now.Add(down)
-	simulation.schedule(down+simulation.draw(rewriteTime), func() {
+	simulation.downUntil = simulation.Now.Add(down)
+	simulation.Schedule(down+simulation.draw(rewriteTime), func() {
 		version := simulation.versions
 		simulation.write(func() (record, bool) { return record{key: operator, version: version}, version == simulation.versions })
 	})
 	for id := range saved.items {
 		if id != operator {
-			simulation.schedule(down+simulation.draw(rewriteTime), func() { simulation.report(id) })
+			simulation.Schedule(down+simulation.draw(rewriteTime), func() { simulation.report(id) })
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(simulation.targets)) {
-		simulation.schedule(down+simulation.draw(rewriteTime), func() { simulation.report(id) })
+		simulation.Schedule(down+simulation.draw(rewriteTime), func() { simulation.report(id) })
 	}
 }
 
@@ -212,7 +173,7 @@
 	instance.later(0, instance.read)
 	var tick func()
 	tick = func() {
-		instance.catalogue.Tick(instance.simulation.now)
+		instance.catalogue.Tick(instance.simulation.Now)
 		instance.later(250*time.Millisecond, tick)
 	}
 	tick()
@@ -221,7 +182,7 @@
 // later runs the function after the delay if the process still runs.
 func (instance *instance) later(delay time.Duration, run func()) {
 	process := instance.process
-	instance.simulation.schedule(delay, func() {
+	instance.simulation.Schedule(delay, func() {
 		if instance.process == process {
 			run()
 		}
@@ -232,27 +193,30 @@
 func (instance *instance) read() {
 	simulation := instance.simulation
 	reader := simulation.instances[0]
-	next := instance.cursor.Next(simulation.now, reader != instance && !reader.contact.IsZero())
+	next := instance.cursor.Next(simulation.Now, reader != instance && !reader.contact.IsZero())
 	switch {
 	case next.Peer:
 		instance.later(hop, func() { instance.readPeer(reader) })
 	case next.Whole:
 		instance.later(hop, func() { instance.readAll(next) })
 	default:
-		instance.later(hop, func() { instance.watch(next, simulation.now.Add(next.Wait)) })
+		instance.later(hop, func() { instance.watch(next, simulation.Now.Add(next.Wait)) })
 	}
 }
 
-// reachesStore reports whether the store answers the instance.
-func (instance *instance) reachesStore() bool {
-	now := instance.simulation.now
-	return !now.Before(instance.cutUntil) && !now.Before(instance.simulation.downUntil)
+// failsWithoutStore reports whether the store does not answer the instance, whose read then ends after a timeout.
+func (instance *instance) failsWithoutStore() bool {
+	now := instance.simulation.Now
+	if !now.Before(instance.cutUntil) && !now.Before(instance.simulation.downUntil) {
+		return false
+	}
+	instance.later(time.Second, func() { instance.end(errNoAnswer, 0) })
+	return true
 }
 
 func (instance *instance) readAll(read Read) {
 	simulation := instance.simulation
-	if !instance.reachesStore() {
-		instance.later(time.Second, func() { instance.end(errNoAnswer, 0) })
+	if instance.failsWithoutStore() {
 		return
 	}
 	era, state := simulation.era, simulation.state
@@ -266,10 +230,10 @@
 			instance.end(err, before)
 			return
 		}
-		instance.catalogue.StoreAnswered(simulation.now)
+		instance.catalogue.StoreAnswered(simulation.Now)
 		instance.catalogue.BeginListing()
 		instance.apply(items)
-		instance.catalogue.EndListing(simulation.now)
+		instance.catalogue.EndListing(simulation.Now)
 		pause := instance.cursor.ReadAll(state.revision, read.AllowStale)
 		instance.succeed(pause, !read.AllowStale, 0)
 	})
@@ -277,8 +241,7 @@
 
 func (instance *instance) watch(read Read, deadline time.Time) {
 	simulation := instance.simulation
-	if !instance.reachesStore() {
-		instance.later(time.Second, func() { instance.end(errNoAnswer, 0) })
+	if instance.failsWithoutStore() {
 		return
 	}
 	era, revision := simulation.era, simulation.state.revision
@@ -288,7 +251,7 @@
 	}
 	changes := slices.Clone(simulation.state.events)
 	changes = slices.DeleteFunc(changes, func(change record) bool { return change.revision <= read.After })
-	if len(changes) == 0 && simulation.now.Before(deadline) {
+	if len(changes) == 0 && simulation.Now.Before(deadline) {
 		instance.later(pollPeriod, func() { instance.watch(read, deadline) })
 		return
 	}
@@ -298,17 +261,17 @@
 			instance.end(err, before)
 			return
 		}
-		instance.catalogue.StoreAnswered(simulation.now)
+		instance.catalogue.StoreAnswered(simulation.Now)
 		instance.apply(changes)
 		instance.succeed(instance.cursor.ReadChanges(revision), true, 0)
 	})
 }
 
-func (instance *instance) readPeer(reader *instance2) {
+func (instance *instance) readPeer(reader *instanceProcess) {
 	simulation := instance.simulation
-	if simulation.now.Before(instance.apartUntil) || simulation.now.Before(reader.apartUntil) {
+	if simulation.Now.Before(instance.apartUntil) || simulation.Now.Before(reader.apartUntil) {
 		instance.later(800*time.Millisecond, func() {
-			instance.cursor.FailPeer(simulation.now)
+			instance.cursor.FailPeer(simulation.Now)
 			instance.read()
 		})
 		return
@@ -319,27 +282,27 @@
 	}
 	delta := reader.catalogue.Since(serial)
 	reply := PeerReply{Peer: Peer{reader.process, delta.Serial}, Whole: serial == 0, Position: reader.published,
-		Age: simulation.now.Sub(reader.contact)}
+		Age: simulation.Now.Sub(reader.contact)}
 	instance.later(simulation.draw(200*time.Millisecond), func() {
 		before := instance.cursor.Position().Era
-		pause, err := instance.cursor.ReadPeer(simulation.now, reply)
+		pause, err := instance.cursor.ReadPeer(simulation.Now, reply)
 		if err != nil {
 			instance.read()
 			return
 		}
 		instance.checkEra(before)
-		instance.catalogue.StoreAnswered(simulation.now)
-		instance.catalogue.Apply(simulation.now, delta, reply.Whole)
+		instance.catalogue.StoreAnswered(simulation.Now)
+		instance.catalogue.Apply(simulation.Now, delta, reply.Whole)
 		instance.succeed(pause+100*time.Millisecond, true, reply.Age)
 	})
 }
 
-type instance2 = instance
+type instanceProcess = instance
 
 // checkEra tells the catalogue that the store was restored.
 func (instance *instance) checkEra(before uint64) {
 	if instance.cursor.Position().Era > before && before > 0 {
-		instance.catalogue.StoreRestored(instance.simulation.now)
+		instance.catalogue.StoreRestored(instance.simulation.Now)
 	}
 }
 
@@ -361,7 +324,7 @@
 		case record.key == operator:
 			instance.catalogue.Configure(catalogue.NewConfiguration(record.version, nil, nil, catalogue.Limits{}))
 		case record.deleted:
-			instance.catalogue.Remove(instance.simulation.now, record.key)
+			instance.catalogue.Remove(instance.simulation.Now, record.key)
 		default:
 			instance.catalogue.Register(record.target)
 		}
@@ -372,7 +335,7 @@
 func (instance *instance) succeed(pause time.Duration, contact bool, age time.Duration) {
 	simulation := instance.simulation
 	if contact {
-		instance.published, instance.contact = instance.cursor.Position(), simulation.now.Add(-age)
+		instance.published, instance.contact = instance.cursor.Position(), simulation.Now.Add(-age)
 	}
 	if configuration := instance.catalogue.Configuration(); configuration != nil {
 		if configuration.Version < instance.version {
@@ -406,11 +369,11 @@
 	case 5:
 		id := rapid.SampledFrom(ids).Draw(t, "ends")
 		delete(simulation.targets, id)
-		simulation.schedule(milliseconds(0, 1500), func() { simulation.report(id) })
+		simulation.Schedule(milliseconds(0, 1500), func() { simulation.report(id) })
 	case 6:
-		instance.cutUntil = simulation.now.Add(milliseconds(100, 4000))
+		instance.cutUntil = simulation.Now.Add(milliseconds(100, 4000))
 	case 7:
-		instance.apartUntil = simulation.now.Add(milliseconds(100, 4000))
+		instance.apartUntil = simulation.Now.Add(milliseconds(100, 4000))
 	case 8:
 		instance.start()
 	}
@@ -443,7 +406,7 @@
 // readers are cut off or start, targets come and go, and the configuration changes. Afterwards all must agree in time.
 func TestStoreRestoredFromCopies(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		simulation := &simulation{random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), now: start, era: 1,
+		simulation := &simulation{random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), Clock: virtualtime.Clock{Now: start}, era: 1,
 			state: copied{items: map[string]record{}}, targets: map[string]catalogue.Target{}, fail: t.Fatalf}
 		simulation.configure()
 		for i := range 4 {
@@ -456,16 +419,16 @@
 		for _, instance := range simulation.instances {
 			instance.start()
 		}
-		simulation.run(time.Second)
+		simulation.Run(time.Second)
 		for range rapid.IntRange(1, 10).Draw(t, "disturbances") {
 			simulation.disturb(t)
-			simulation.run(time.Duration(rapid.IntRange(0, int(troubleTime.Milliseconds())/10).Draw(t, "pause ms")) * time.Millisecond)
+			simulation.Run(time.Duration(rapid.IntRange(0, int(troubleTime.Milliseconds())/10).Draw(t, "pause ms")) * time.Millisecond)
 		}
-		down := max(0, simulation.downUntil.Sub(simulation.now))
+		down := max(0, simulation.downUntil.Sub(simulation.Now))
 		for _, instance := range simulation.instances {
-			instance.cutUntil, instance.apartUntil = simulation.now, simulation.now
+			instance.cutUntil, instance.apartUntil = simulation.Now, simulation.Now
 		}
-		simulation.run(down + rewriteTime + settleTime)
+		simulation.Run(down + rewriteTime + settleTime)
 		simulation.assertAgree(t)
 	})
 }
--- /dev/null
+++ b/reel/virtualtime/doc.go
@@ -0,0 +1,2 @@
+// Package virtualtime runs functions at times of a virtual clock, for simulations in tests.
+package virtualtime
--- a/reel/workingset/workingset.go
+++ b/reel/workingset/workingset.go
@@ -84,8 +84,8 @@
 	return float64(cmp.Or(instance.Processor, defaultProcessor))
 }
 
-// rank orders instances of the same size differently in each part of the fleet's names, so that neighbours, which often
-// fail together, are not all in the working set.
+// rank is the order among instances of the same size. It does not follow their names, since instances with similar names
+// often fail together.
 func rank(instance member.Member) uint64 {
 	return xxhash.Sum64String(instance.Name)
 }
--- a/shallotreel/crashwatch/fleet_test.go
+++ b/shallotreel/crashwatch/fleet_test.go
@@ -45,7 +45,7 @@
 // repeatCulprit repeats a crashing request under new ids.
 func (simulation *simulation) repeatCulprit(fingerprint quarantine.Fingerprint, count int) {
 	simulation.request(fmt.Sprint("crash-", count), fingerprint, true, func(result.Code) {})
-	simulation.schedule(200*time.Millisecond+simulation.draw(400*time.Millisecond), func() { simulation.repeatCulprit(fingerprint, count+1) })
+	simulation.Schedule(200*time.Millisecond+simulation.draw(400*time.Millisecond), func() { simulation.repeatCulprit(fingerprint, count+1) })
 }
 
 // sendHarmless sends a harmless request, whose caller repeats it once after a failure, and then the next one.
@@ -62,7 +62,7 @@
 		})
 	}
 	try(func() { try(func() {}) })
-	simulation.schedule(period, func() { simulation.sendHarmless(period, next) })
+	simulation.Schedule(period, func() { simulation.sendHarmless(period, next) })
 }
 
 // start starts the harmless requests, the kills of instances and the crashes without a culprit.
@@ -71,7 +71,7 @@
 	simulation.sendHarmless(harmlessPeriod, func() quarantine.Fingerprint { fingerprint++; return fingerprint })
 	simulation.sendHarmless(popularPeriod, func() quarantine.Fingerprint { return popularFingerprint })
 	for i := range simulation.kills {
-		simulation.schedule(simulation.draw(sessionTime), func() { simulation.instances[i%len(simulation.instances)].start() })
+		simulation.Schedule(simulation.draw(sessionTime), func() { simulation.instances[i%len(simulation.instances)].start() })
 	}
 	if simulation.conditions.random > 0 {
 		simulation.crashPeriodically()
@@ -82,7 +82,7 @@
 	if target := simulation.targets[simulation.random.IntN(len(simulation.targets))]; !target.down {
 		target.crash()
 	}
-	simulation.schedule(simulation.conditions.random, simulation.crashPeriodically)
+	simulation.Schedule(simulation.conditions.random, simulation.crashPeriodically)
 }
 
 // lateRepeats returns the number of repeats of the culprit that an instance in touch sent to a target later than
@@ -140,9 +140,9 @@
 	simulation.start()
 	simulation.repeatCulprit(culpritFingerprint, 0)
 	for rival := range conditions.rivals {
-		simulation.schedule(simulation.draw(queueFrom), func() { simulation.repeatCulprit(rivalFingerprint+quarantine.Fingerprint(rival), 0) })
+		simulation.Schedule(simulation.draw(queueFrom), func() { simulation.repeatCulprit(rivalFingerprint+quarantine.Fingerprint(rival), 0) })
 	}
-	simulation.run(sessionTime)
+	simulation.Run(sessionTime)
 	if late := simulation.lateRepeats(); late > maxLateRepeats {
 		t.Fatalf("%d repeats reached targets later than %v after crash %d, allowed are %d; %d crashes in all",
 			late, spreadTime, freeCrashes, maxLateRepeats, len(simulation.crashes))
@@ -175,7 +175,7 @@
 		drawn.random = max(period, 3*drawn.down/processes) // a third of the targets is down at most
 		simulation := newSimulation(drawn)
 		simulation.start()
-		simulation.run(sessionTime)
+		simulation.Run(sessionTime)
 		for _, outcome := range simulation.harmless {
 			if outcome.refused {
 				t.Fatal("a harmless request is refused by a mark")
--- a/shallotreel/crashwatch/simulated_instance_test.go
+++ b/shallotreel/crashwatch/simulated_instance_test.go
@@ -30,7 +30,7 @@
 
 func (instance *instance) start() {
 	instance.incarnation++
-	instance.startedAt = instance.simulation.now
+	instance.startedAt = instance.simulation.Now
 	instance.failedAt, instance.waitingSince = map[string]time.Time{}, map[string]time.Time{}
 	instance.catalogue = catalogue.New()
 	for _, target := range instance.simulation.targets {
@@ -43,25 +43,25 @@
 	tracker := &quarantine.Tracker{}
 	instance.replication = replication.New(tracker)
 	instance.watch = New(tracker, instance, func(fingerprint quarantine.Fingerprint) {
-		instance.replication.Changed(instance.simulation.now, fingerprint)
+		instance.replication.Changed(instance.simulation.Now, fingerprint)
 		instance.push()
 	}, log, tally.NoopScope)
-	instance.repeat(tickPeriod, func() { instance.watch.Tick(instance.simulation.now) })
+	instance.repeat(tickPeriod, func() { instance.watch.Tick(instance.simulation.Now) })
 	instance.repeat(gossipPeriod, func() {
 		instance.push()
-		instance.send(instance.peer(), instance.replication.Message(instance.simulation.now))
+		instance.send(instance.peer(), instance.replication.Message(instance.simulation.Now))
 	})
 }
 
 // inTouch reports whether the process has been running for long enough to know the marks.
 func (instance *instance) inTouch() bool {
-	return instance.startedAt.Equal(epoch) || instance.simulation.now.Sub(instance.startedAt) >= spreadTime
+	return instance.startedAt.Equal(epoch) || instance.simulation.Now.Sub(instance.startedAt) >= spreadTime
 }
 
 // repeat runs the function periodically until the process is killed.
 func (instance *instance) repeat(period time.Duration, run func()) {
 	incarnation := instance.incarnation
-	instance.simulation.schedule(period, func() {
+	instance.simulation.Schedule(period, func() {
 		if instance.incarnation == incarnation {
 			run()
 			instance.repeat(period, run)
@@ -74,9 +74,9 @@
 	if instance.catalogue == nil {
 		return // not started yet
 	}
-	instance.simulation.schedule(instance.simulation.draw(400*time.Millisecond), func() {
-		for _, change := range apply(instance.simulation.now) {
-			instance.watch.TargetChanged(instance.simulation.now, change)
+	instance.simulation.Schedule(instance.simulation.draw(400*time.Millisecond), func() {
+		for _, change := range apply(instance.simulation.Now) {
+			instance.watch.TargetChanged(instance.simulation.Now, change)
 		}
 	})
 }
@@ -101,7 +101,7 @@
 		return
 	}
 	for range gossipFanout {
-		instance.send(instance.peer(), instance.replication.Message(instance.simulation.now))
+		instance.send(instance.peer(), instance.replication.Message(instance.simulation.Now))
 	}
 }
 
@@ -116,12 +116,12 @@
 		copies = 2
 	}
 	for range copies {
-		simulation.schedule(simulation.draw(simulation.maxDelay), func() { peer.receive(instance, message) })
+		simulation.Schedule(simulation.draw(simulation.maxDelay), func() { peer.receive(instance, message) })
 	}
 }
 
 func (instance *instance) receive(from *instanceProcess, message replication.Message) {
-	now := instance.simulation.now
+	now := instance.simulation.Now
 	changed, differs := instance.replication.Receive(now, message)
 	if len(changed) > 0 {
 		instance.push()
--- a/shallotreel/crashwatch/simulated_request_test.go
+++ b/shallotreel/crashwatch/simulated_request_test.go
@@ -42,9 +42,9 @@
 	session := &session{instance: instance, incarnation: instance.incarnation, request: name, fingerprint: fingerprint,
 		crashes: crashes, wave: simulation.random.Uint64(), ended: ended}
 	plan := query.Plan{Route: simulation.route, Services: simulation.route.ServiceNames(), Fingerprint: fingerprint,
-		Start: simulation.now, SoftDeadline: simulation.now.Add(simulation.route.Goal), Deadline: simulation.now.Add(requestTimeout)}
+		Start: simulation.Now, SoftDeadline: simulation.Now.Add(simulation.route.Goal), Deadline: simulation.Now.Add(requestTimeout)}
 	session.machine = query.New(plan, instance, simulation.nextID)
-	session.perform(session.machine.Begin(simulation.now))
+	session.perform(session.machine.Begin(simulation.Now))
 }
 
 func (session *session) perform(actions []query.Action) {
@@ -61,10 +61,10 @@
 	if session.finished {
 		return
 	}
-	wait := max(session.machine.NextWake(simulation.now).Sub(simulation.now), time.Millisecond)
-	simulation.schedule(wait, func() {
+	wait := max(session.machine.NextWake(simulation.Now).Sub(simulation.Now), time.Millisecond)
+	simulation.Schedule(wait, func() {
 		if !session.finished && session.lives() {
-			session.perform(session.machine.Wake(simulation.now))
+			session.perform(session.machine.Wake(simulation.Now))
 		}
 	})
 }
@@ -79,10 +79,10 @@
 	attempt := &attempt{session: session, id: send.AttemptID, target: send.Pick.Target}
 	session.open = append(session.open, attempt)
 	if since := session.instance.waitingSince; since[attempt.target.ID].IsZero() {
-		since[attempt.target.ID] = simulation.now
+		since[attempt.target.ID] = simulation.Now
 	}
 	session.instance.watch.Sent(crash.Attempt{ID: send.AttemptID, Request: session.request, Fingerprint: session.fingerprint,
-		Target: send.Pick.Target, Wave: session.wave + uint64(send.Generation), SentAt: simulation.now,
+		Target: send.Pick.Target, Wave: session.wave + uint64(send.Generation), SentAt: simulation.Now,
 		Suspicion: suspicionTimeout})
 	index := slices.IndexFunc(simulation.targets, func(target *target) bool {
 		return target.ID == send.Pick.Target.ID && target.Address == send.Pick.Target.Address
@@ -90,16 +90,16 @@
 	switch {
 	case index >= 0:
 		receiver := simulation.targets[index]
-		simulation.schedule(hop, func() { receiver.receive(attempt) })
+		simulation.Schedule(hop, func() { receiver.receive(attempt) })
 	case !simulation.silent:
-		simulation.schedule(2*hop, func() { attempt.end(query.NotRun, true) })
+		simulation.Schedule(2*hop, func() { attempt.end(query.NotRun, true) })
 	}
 }
 
 // end handles the end of an attempt as package ingress does.
 func (attempt *attempt) end(execution query.Execution, refused bool) {
 	session := attempt.session
-	instance, now := session.instance, session.instance.simulation.now
+	instance, now := session.instance, session.instance.simulation.Now
 	if attempt.done || !session.lives() {
 		return
 	}
@@ -142,16 +142,16 @@
 	simulation := session.instance.simulation
 	session.finished = true
 	if finish.Code == result.OK {
-		session.instance.watch.Completed(simulation.now, session.fingerprint)
+		session.instance.watch.Completed(simulation.Now, session.fingerprint)
 	}
 	if finish.Code == result.Quarantined {
-		session.instance.watch.RecordRefusal(simulation.now, session.request, session.fingerprint)
+		session.instance.watch.RecordRefusal(simulation.Now, session.request, session.fingerprint)
 	}
-	simulation.schedule(lateAnswerWait, func() {
+	simulation.Schedule(lateAnswerWait, func() {
 		for _, attempt := range session.open {
 			if !attempt.done && session.lives() {
 				attempt.done = true
-				session.instance.watch.Abandoned(simulation.now, attempt.id, session.answered)
+				session.instance.watch.Abandoned(simulation.Now, attempt.id, session.answered)
 			}
 		}
 	})
--- a/shallotreel/crashwatch/simulation_test.go
+++ b/shallotreel/crashwatch/simulation_test.go
@@ -1,8 +1,6 @@
 package crashwatch
 
 import (
-	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -11,6 +9,7 @@
 
 	"shallotreel.example/reel/catalogue"
 	"shallotreel.example/reel/query"
+	"shallotreel.example/reel/virtualtime"
 )
 
 const (
@@ -56,10 +55,8 @@
 // simulation runs the machines of several instances in virtual time.
 type simulation struct {
 	conditions
-	now       time.Time
+	virtualtime.Clock
 	random    *rand.Rand
-	events    events
-	order     int
 	instances []*instance
 	targets   []*target
 	route     *catalogue.Route
@@ -82,31 +79,8 @@
 	refused bool // by a mark
 }
 
-// event is a function call at a virtual time.
-type event struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-// events is a heap of events ordered by time and sequence number.
-type events []event
-
-func (events events) Len() int { return len(events) }
-func (events events) Less(i, j int) bool {
-	return cmp.Or(events[i].at.Compare(events[j].at), cmp.Compare(events[i].order, events[j].order)) < 0
-}
-func (events events) Swap(i, j int) { events[i], events[j] = events[j], events[i] }
-func (events *events) Push(x any)   { *events = append(*events, x.(event)) }
-func (events *events) Pop() any {
-	last := len(*events) - 1
-	popped := (*events)[last]
-	*events = (*events)[:last]
-	return popped
-}
-
 func newSimulation(conditions conditions) *simulation {
-	simulation := &simulation{conditions: conditions, now: epoch, random: rand.New(rand.NewPCG(conditions.seed, 7)),
+	simulation := &simulation{conditions: conditions, Clock: virtualtime.Clock{Now: epoch}, random: rand.New(rand.NewPCG(conditions.seed, 7)),
 		route: &catalogue.Route{Name: "r", Idempotent: conditions.idempotent, Attempts: 3, Goal: 200 * time.Millisecond,
 			Service: "desk", LeastShare: 0.6, Top: 3}}
 	if conditions.shards > 0 {
@@ -129,22 +103,6 @@
 	return simulation
 }
 
-func (simulation *simulation) schedule(delay time.Duration, run func()) {
-	simulation.order++
-	heap.Push(&simulation.events, event{simulation.now.Add(delay), simulation.order, run})
-}
-
-// run executes the events of the next duration.
-func (simulation *simulation) run(duration time.Duration) {
-	end := simulation.now.Add(duration)
-	for len(simulation.events) > 0 && !simulation.events[0].at.After(end) {
-		next := heap.Pop(&simulation.events).(event)
-		simulation.now = next.at
-		next.run()
-	}
-	simulation.now = end
-}
-
 func (simulation *simulation) draw(limit time.Duration) time.Duration {
 	return time.Duration(simulation.random.Int64N(int64(limit)) + 1)
 }
@@ -172,7 +130,7 @@
 		address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), uint16(1000+number))
 	}
 	started := &target{simulation: simulation, Target: catalogue.Target{ID: id, Service: service, Address: address,
-		DataCentre: "a", Slots: 4, Born: simulation.now.UnixMilli(), Seq: number}}
+		DataCentre: "a", Slots: 4, Born: simulation.Now.UnixMilli(), Seq: number}}
 	simulation.targets = append(simulation.targets, started)
 	registration := started.Target
 	for _, instance := range simulation.instances {
@@ -192,16 +150,16 @@
 	target.down = true
 	if !simulation.silent {
 		for _, attempt := range target.running {
-			simulation.schedule(hop, func() { attempt.end(query.MayHaveRun, true) })
+			simulation.Schedule(hop, func() { attempt.end(query.MayHaveRun, true) })
 		}
 	}
 	target.running = nil
-	simulation.schedule(min(registrationTTL, simulation.down), func() {
+	simulation.Schedule(min(registrationTTL, simulation.down), func() {
 		if simulation.down > registrationTTL || !simulation.sameID {
 			target.unregister()
 		}
 	})
-	simulation.schedule(simulation.down, func() {
+	simulation.Schedule(simulation.down, func() {
 		simulation.targets = slices.DeleteFunc(simulation.targets, func(other *targetProcess) bool { return other == target })
 		id, address := "", target.Address
 		if simulation.sameID {
@@ -235,31 +193,31 @@
 	case target.down && simulation.silent:
 		return
 	case target.down:
-		simulation.schedule(hop, func() { attempt.end(query.NotRun, true) })
+		simulation.Schedule(hop, func() { attempt.end(query.NotRun, true) })
 		return
 	}
 	target.running = append(target.running, attempt)
 	wait := time.Duration(0)
-	if simulation.queue > 0 && simulation.now.Sub(epoch) > queueFrom {
+	if simulation.queue > 0 && simulation.Now.Sub(epoch) > queueFrom {
 		wait = simulation.draw(simulation.queue)
 	}
 	if attempt.session.crashes {
 		counts := attempt.session.fingerprint == culpritFingerprint
 		if counts {
-			simulation.culprit = append(simulation.culprit, arrival{attempt.session.request, simulation.now, attempt.session.instance.inTouch()})
+			simulation.culprit = append(simulation.culprit, arrival{attempt.session.request, simulation.Now, attempt.session.instance.inTouch()})
 		}
-		simulation.schedule(wait+beforeCrash, func() {
+		simulation.Schedule(wait+beforeCrash, func() {
 			if target.down {
 				return
 			}
 			if counts {
-				simulation.crashes = append(simulation.crashes, simulation.now)
+				simulation.crashes = append(simulation.crashes, simulation.Now)
 			}
 			target.crash()
 		})
 		return
 	}
-	simulation.schedule(wait+5*time.Millisecond+simulation.draw(25*time.Millisecond), func() {
+	simulation.Schedule(wait+5*time.Millisecond+simulation.draw(25*time.Millisecond), func() {
 		if target.down {
 			return
 		}
@@ -268,6 +226,6 @@
 		if simulation.random.Float64() < simulation.lostAnswer {
 			execution = query.MayHaveRun
 		}
-		simulation.schedule(hop, func() { attempt.end(execution, false) })
+		simulation.Schedule(hop, func() { attempt.end(execution, false) })
 	})
 }
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -16,6 +16,7 @@
 const (
 	peerPollTimeout   = 500 * time.Millisecond // for which a peer may delay its answer while nothing changes
 	peerTimeout       = 300 * time.Millisecond // of a call to a peer, in addition to peerPollTimeout
+	watchCallTimeout  = cursor.WatchTimeout + callTimeout
 	anyAge            = math.MaxInt64          // after a failed call to the store a stale catalogue is better than none
 	bootstrapInterval = 100 * time.Millisecond // between two attempts to load the first configuration from a serving peer
 	actorTimeout      = time.Second            // of a request to the feed's own actor
@@ -159,7 +160,7 @@
 
 // watch reads the changes after a revision.
 func (feed *Feed) watch(cursor *cursor.Cursor, read cursor.Read) (time.Duration, error) {
-	response, err := feed.call(cursor, read.Wait+callTimeout, func(ctx context.Context) (platform.StoreResponse, error) {
+	response, err := feed.call(cursor, watchCallTimeout, func(ctx context.Context) (platform.StoreResponse, error) {
 		return feed.store.Watch(ctx, read.After, read.Wait)
 	})
 	if err != nil {
