reelctl marks; the third customer's deployment

reelctl marks shows from logs which requests are marked, how often each was refused and why its mark stands. The example documents, the demo and the pages name Vannkobling Nord beside the other two.

--- a/bench/demo.go
+++ b/bench/demo.go
@@ -28,7 +28,7 @@
 var demoRequestRates = map[document.Operation]float64{document.Search: 40, document.Fetch: 40, document.Record: 10}
 
 type demoCommand struct {
-	Deployment string `long:"deployment" default:"gebeta" choice:"gebeta" choice:"bellandi" description:"deployment to start"`
+	Deployment string `long:"deployment" default:"gebeta" choice:"gebeta" choice:"bellandi" choice:"vannkobling" description:"deployment to start"`
 	Keep       bool   `long:"keep" description:"keep the deployment running until an interrupt and print example calls"`
 }
 
--- a/reel/document/document_test.go
+++ b/reel/document/document_test.go
@@ -19,7 +19,7 @@
 }
 
 func TestShippedDeploymentsAreValid(t *testing.T) {
-	for _, name := range []string{"gebeta.json", "bellandi.json"} {
+	for _, name := range []string{"gebeta.json", "bellandi.json", "vannkobling.json"} {
 		doc, err := Parse(read(t, name))
 		if err != nil {
 			t.Fatalf("%s: %v", name, err)
--- a/reelctl/main.go
+++ b/reelctl/main.go
@@ -30,6 +30,7 @@
 	Status  statusCommand  `command:"status" description:"show all instances, including those that do not answer"`
 	Explain explainCommand `command:"explain" description:"show the targets of a request and the reason for each choice"`
 	Drain   drainCommand   `command:"drain" description:"make an instance leave the fleet, finish its requests and stop"`
+	Marks   marksCommand   `command:"marks" description:"show the marks on requests that crash targets, and why each stands, from the logs of instances"`
 	Trace   traceCommand   `command:"trace" description:"show what the logs of instances record about one request"`
 }
 
--- a/reelctl/trace.go
+++ b/reelctl/trace.go
@@ -19,13 +19,9 @@
 
 // Execute prints what the logs record about the request.
 func (command *traceCommand) Execute([]string) error {
-	var lines []*trace.Line
-	for _, name := range command.Args.Files {
-		read, err := readLog(name)
-		if err != nil {
-			return err
-		}
-		lines = append(lines, read...)
+	lines, err := readLogs(command.Args.Files)
+	if err != nil {
+		return err
 	}
 	found, err := trace.Find(lines, command.Args.Request)
 	if errors.Is(err, trace.ErrNotFound) {
@@ -41,6 +37,38 @@
 	return found.Print(os.Stdout)
 }
 
+type marksCommand struct {
+	Args struct {
+		Files []string `positional-arg-name:"FILE" required:"1" description:"log of an instance"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints the marks on requests that the logs mention, and why each stands.
+func (command *marksCommand) Execute([]string) error {
+	lines, err := readLogs(command.Args.Files)
+	if err != nil {
+		return err
+	}
+	marks := trace.Marks(lines)
+	if global.JSON {
+		return printJSON(marks)
+	}
+	return trace.PrintMarks(os.Stdout, marks)
+}
+
+// readLogs returns the lines of all files.
+func readLogs(names []string) ([]*trace.Line, error) {
+	var lines []*trace.Line
+	for _, name := range names {
+		read, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, read...)
+	}
+	return lines, nil
+}
+
 func readLog(name string) ([]*trace.Line, error) {
 	file, err := os.Open(name)
 	if err != nil {
