Test of the feed: a disconnected reader gets nothing more

The proxy's disconnect returned before its connections were closed, so that a watch in progress could still be answered. The test checks what it did.

Also comments that the linter asks for in the virtual clock.

--- a/reel/virtualtime/clock.go
+++ b/reel/virtualtime/clock.go
@@ -47,7 +47,11 @@
 func (events events) Less(i, j int) bool {
 	return cmp.Or(events[i].at.Compare(events[j].at), cmp.Compare(events[i].order, events[j].order)) < 0
 }
+
+// Push implements heap.Interface.
 func (events *events) Push(x any) { *events = append(*events, x.(event)) }
+
+// Pop implements heap.Interface.
 func (events *events) Pop() any {
 	last := len(*events) - 1
 	popped := (*events)[last]
--- a/shallotreel/feed/feed_test.go
+++ b/shallotreel/feed/feed_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -81,8 +82,15 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
+// proxy forwards connections to the store until it is disconnected.
+type proxy struct {
+	mutex        sync.Mutex
+	conns        []net.Conn
+	disconnected bool
+}
+
 // startProxy starts a TCP proxy to the store. It returns the proxy's address and a function that closes its connections
-// and all later ones.
+// and all later ones; nothing that the store writes afterwards reaches the other side.
 func startProxy(t *testing.T, store netip.AddrPort) (netip.AddrPort, func()) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -90,34 +98,48 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	disconnected := make(chan struct{})
+	proxy := &proxy{}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go forward(conn, store, disconnected)
+			go proxy.forward(conn, store)
 		}
 	}()
-	return netip.MustParseAddrPort(listener.Addr().String()), func() { close(disconnected) }
+	return netip.MustParseAddrPort(listener.Addr().String()), proxy.disconnect
 }
 
-// forward copies data between the connection and the store until the client closes it or disconnected
-// is closed.
-func forward(conn net.Conn, store netip.AddrPort, disconnected <-chan struct{}) {
+// forward copies data between the connection and the store until either side closes.
+func (proxy *proxy) forward(conn net.Conn, store netip.AddrPort) {
 	defer conn.Close()
 	other, err := net.Dial("tcp", store.String())
 	if err != nil {
 		return
 	}
 	defer other.Close()
-	done := make(chan struct{})
-	go func() { _, _ = io.Copy(other, conn); close(done) }()
+	if !proxy.add(conn, other) {
+		return
+	}
 	go func() { _, _ = io.Copy(conn, other) }()
-	select {
-	case <-disconnected:
-	case <-done:
+	_, _ = io.Copy(other, conn)
+}
+
+// add keeps the connections for disconnect; it reports false if that was called before.
+func (proxy *proxy) add(conns ...net.Conn) bool {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.conns = append(proxy.conns, conns...)
+	return !proxy.disconnected
+}
+
+func (proxy *proxy) disconnect() {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.disconnected = true
+	for _, conn := range proxy.conns {
+		conn.Close()
 	}
 }
 
