--- a/shallotreel/front/address.go
+++ b/shallotreel/front/address.go
@@ -97,5 +97,5 @@
 		return
 	}
 	front.roster.SetLoad(load)
-	front.log.WithFields(logrus.Fields{"level": load, "millicores": int(load.Use()), "running": front.handler.Running()}).Info("load changed")
+	front.log.WithFields(logrus.Fields{"load": load, "millicores": int(load.Use()), "running": front.handler.Running()}).Info("load changed")
 }
