Marks: all instances learn that a harmless request is complete, also after its losses were cleared

Only the instance that completed it knew so. At another instance the next crash counted it as a rival of the real culprit, which then needed two crashes more.

--- a/reel/quarantine/quarantine.go
+++ b/reel/quarantine/quarantine.go
@@ -194,9 +194,10 @@
 		tracker.trusted[fingerprint] = trust
 	}
 	mark := tracker.currentMark(now, fingerprint)
-	if len(mark.Losses) == 0 || mark.Complete {
-		return mark, false // a mark without losses restricts nothing, so its change is not worth a message
+	if mark.Version == 0 || mark.Complete {
+		return mark, false
 	}
+	// A mark without losses changes too: the next crash may be recorded by an instance that never completed the request.
 	mark.Complete = true
 	mark.Version++
 	tracker.setMark(now, mark)
--- a/shallotreel/crashwatch/fleet_test.go
+++ b/shallotreel/crashwatch/fleet_test.go
@@ -118,6 +118,9 @@
 		down: 1577 * time.Millisecond, sameID: true, moves: true, maxDelay: 162 * time.Millisecond, loss: 0.33, duplicates: 0.01, kills: 1},
 	"a popular request marked in an outage of all targets": {seed: 1, instances: 5, shards: 1, targets: 3, idempotent: true, silent: true,
 		down: 1500 * time.Millisecond, maxDelay: time.Millisecond, duplicates: 0.10, lostAnswer: 0.01},
+	"a harmless request complete at one instance only": {seed: 3, instances: 9, shards: 2, targets: 3, idempotent: true,
+		down: 5410 * time.Millisecond, moves: true, maxDelay: 45 * time.Millisecond, loss: 0.20, duplicates: 0.25, lostAnswer: 0.01,
+		rivals: 3, queue: 567 * time.Millisecond},
 }
 
 func TestEarlierFailures(t *testing.T) {
