Test of the roster: wait for the report of a mark

The test polls the tracker and looked for the report at once, so it failed when it polled in between. Shown by a trial: with 50 ms between both steps the old test fails with the same line each time.

Change: the test waits for the report like for the other events. It is as strict: a report that never comes fails it.

--- a/shallotreel/roster/roster_test.go
+++ b/shallotreel/roster/roster_test.go
@@ -103,9 +103,7 @@
 	first.Close()
 	third := startInstance(t, "third", second.Members()[1].Peer)
 	waitUntil(t, "a new instance knows the mark", quarantined(third))
-	if third.learned.Load() == 0 {
-		t.Error("the new instance does not report the mark")
-	}
+	waitUntil(t, "the new instance reports the mark", func() bool { return third.learned.Load() > 0 })
 }
 
 // TestDatagramsOfEarlierVersion checks that instances with and without marks understand each other's datagrams.
