Membership: spread inside a data centre first; those that start pull all members

And a process that started again learned the others only from their probes: in virtual time 86 s until it knew 195 members. Until then it computed another working set and larger shares of budgets and connections than the others. Ruled out as the cause of the slow learning: lost datagrams (2 %).

Change: updates go to three peers of the own data centre and two of others in each round; the instances of a data centre send an update 32 times (at least once each) to others. Probes: two a round inside, one a second outside, as many as inside while a member outside is suspect, so that a lost data centre shows as soon as before. A new suspect is pinged at once, which lets it refute. A process that starts pulls all members from a peer near by each second until one that has them all has answered, then about each 15 s by a digest. A seed elsewhere names it peers of its own data centre.

TestChangesSpread fails on the code before at 24 and 96 instances.

--- a/reel/fleet/capacity_test.go
+++ b/reel/fleet/capacity_test.go
@@ -23,10 +23,10 @@
 	}
 	machine := New(now, members[0], nil, &quarantine.Tracker{}, rand.New(rand.NewPCG(1, 1)))
 	machine.members.Merge(now, members[1:])
-	for machine.members.Tick(now); len(machine.members.GossipMessage().Updates) > 0; {
+	for machine.members.Tick(now); len(machine.members.GossipMessage(members[1]).Updates) > 0; {
 		continue
 	}
-	packet := machine.newPacket(now, machine.members.GossipMessage())
+	packet := machine.newPacket(now, machine.members.GossipMessage(members[1]))
 	packet.Member.From = members[1]
 	packet.Member.Type = member.Ping
 	return machine, packet
--- a/reel/fleet/offer.go
+++ b/reel/fleet/offer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"shallotreel.example/reel/document"
+	"shallotreel.example/reel/gossip"
 	"shallotreel.example/reel/member"
 	"shallotreel.example/reel/platform"
 	"shallotreel.example/reel/publication"
@@ -163,8 +164,8 @@
 func (machine *Machine) broadcast(now time.Time) Output {
 	var output Output
 	for _, peer := range machine.members.RandomPeers(broadcastFanout) {
-		machine.summaryQueue.Take(1, len(machine.members.Members()))
-		output.Sends = append(output.Sends, Send{peer.Peer, machine.newPacket(now, machine.members.GossipMessage())})
+		machine.summaryQueue.Take(1, gossip.TransmitLimit(len(machine.members.Members())))
+		output.Sends = append(output.Sends, Send{peer.Peer, machine.newPacket(now, machine.members.GossipMessage(peer))})
 	}
 	return output
 }
@@ -180,11 +181,11 @@
 
 // newPacket returns a packet that carries the message along with heartbeats, the switch state and queued items.
 func (machine *Machine) newPacket(now time.Time, message member.Message) Packet {
-	size := len(machine.instances.Instances) + 1
+	limit := gossip.TransmitLimit(len(machine.instances.Instances) + 1)
 	return Packet{
 		Member: message, Summary: machine.store.Summary(), Heartbeats: machine.contact.Heartbeats(now),
-		SwitchState: machine.revision.SwitchState(), Marks: machine.markQueue.Take(marksPerPacket, size),
-		Leaving: machine.leavingQueue.Take(leavingPerPacket, size),
+		SwitchState: machine.revision.SwitchState(), Marks: machine.markQueue.Take(marksPerPacket, limit),
+		Leaving: machine.leavingQueue.Take(leavingPerPacket, limit),
 	}
 }
 
--- a/reel/gossip/gossip.go
+++ b/reel/gossip/gossip.go
@@ -11,7 +11,7 @@
 // it with a probability that falls exponentially with that number.
 const extraTransmissions = 4
 
-// Queue holds items by key until each was sent the number of times that TransmitLimit
+// Queue holds items by key until each was sent a number of times, such as TransmitLimit
 // returns. Its zero value is an empty queue.
 type Queue[T any] struct {
 	items []entry[T]
@@ -35,16 +35,14 @@
 }
 
 // Take returns up to limit items for one transmission to a peer, those with the fewest
-// transmissions first. It removes items that have reached their transmission limit in
-// a fleet of the given size.
-func (queue *Queue[T]) Take(limit, fleet int) []T {
+// transmissions first. It removes items that were sent transmitLimit times.
+func (queue *Queue[T]) Take(limit, transmitLimit int) []T {
 	slices.SortStableFunc(queue.items, func(a, b entry[T]) int { return cmp.Compare(a.transmissions, b.transmissions) })
 	taken := make([]T, 0, min(limit, len(queue.items)))
 	for i := range min(limit, len(queue.items)) {
 		taken = append(taken, queue.items[i].item)
 		queue.items[i].transmissions++
 	}
-	transmitLimit := TransmitLimit(fleet)
 	queue.items = slices.DeleteFunc(queue.items, func(item entry[T]) bool { return item.transmissions >= transmitLimit })
 	return taken
 }
--- a/reel/member/member.go
+++ b/reel/member/member.go
@@ -3,26 +3,22 @@
 import (
 	"cmp"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"time"
-
-	"shallotreel.example/reel/gossip"
 )
 
 const (
-	probePeriod       = 500 * time.Millisecond // between probe rounds
-	directTimeout     = 200 * time.Millisecond // time without an Ack after which peers are requested to ping the member
-	probeTimeout      = 500 * time.Millisecond // time without an Ack after which the member becomes suspect
-	suspicionTimeout  = 2 * time.Second        // time after which a suspect member that has not refuted the suspicion becomes dead
-	deadProbePeriod   = 2 * time.Second        // between probes of one random dead member, which may have recovered
-	deadRetention     = 10 * time.Minute       // time after which a dead member is removed
-	pauseThreshold    = time.Second            // maximum time between two calls of Tick; a longer gap means that this process was paused
-	probesPerPeriod   = 2                      // members probed in each round
-	indirectProbes    = 3                      // peers that are requested to ping a member
-	gossipFanout      = 3                      // random peers that receive each gossip message
-	updatesPerMessage = 8                      // maximum number of updates in one message
-	drawsPerPeer      = 20                     // maximum number of random draws of RandomPeers for each requested peer
+	probePeriod      = 500 * time.Millisecond // between probe rounds
+	directTimeout    = 200 * time.Millisecond // time without an Ack after which peers are requested to ping the member
+	probeTimeout     = 500 * time.Millisecond // time without an Ack after which the member becomes suspect
+	suspicionTimeout = 2 * time.Second        // time after which a suspect member that has not refuted the suspicion becomes dead
+	deadProbePeriod  = 2 * time.Second        // between probes of one random dead member, which may have recovered
+	deadRetention    = 10 * time.Minute       // time after which a dead member is removed
+	pauseThreshold   = time.Second            // maximum time between two calls of Tick; a longer gap means that this process was paused
+	probesPerPeriod  = 2                      // members of the own data centre probed in each round
+	farProbePeriod   = time.Second            // between two probes of members of other data centres
+	indirectProbes   = 3                      // peers that are requested to ping a member
+	drawsPerPeer     = 20                     // maximum number of random draws of RandomPeers for each requested peer
 )
 
 // Machine is the state machine of the membership protocol on one instance. It is
@@ -31,17 +27,20 @@
 	self          Member
 	members       map[string]*entry
 	random        *rand.Rand
-	broadcasts    gossip.Queue[Member]
+	near          group // in the data centre of this instance
+	far           group // in other data centres
 	seq           uint64
 	probes        map[uint64]*probe
 	relays        map[uint64]relay
-	probeOrder    []string        // names of the members still to probe in this round
-	names         []string        // names of all known members, sorted
 	timed         map[string]bool // names of suspect and dead members, whose state changes after a timeout
 	version       uint64          // incremented whenever a member changes
 	lastProbe     time.Time
+	lastFarProbe  time.Time
 	lastDeadProbe time.Time
 	lastTick      time.Time
+	firstTick     time.Time
+	complete      bool // whether a peer sent all members that it knew, or this instance knows them for another reason
+	nextPull      time.Time
 }
 
 // entry is a member and when its description last changed.
@@ -59,7 +58,7 @@
 
 // relay is a ping that was sent on behalf of another instance.
 type relay struct {
-	requester netip.AddrPort
+	requester Member
 	seq       uint64
 	sent      time.Time
 }
@@ -68,7 +67,7 @@
 func New(self Member, random *rand.Rand) *Machine {
 	machine := &Machine{self: self, random: random, members: map[string]*entry{},
 		probes: map[uint64]*probe{}, relays: map[uint64]relay{}, timed: map[string]bool{}}
-	machine.broadcasts.Put(self.Name, self)
+	machine.broadcast(self)
 	return machine
 }
 
@@ -95,7 +94,7 @@
 	}
 	member.Incarnation, member.Version, member.State = 0, 0, Joining
 	machine.store(now, member)
-	message := machine.newMessage(Ping, machine.startProbe(now, member.Name))
+	message := machine.newMessage(Ping, machine.startProbe(now, member.Name), member)
 	return Output{
 		Sends:   []Send{{member.Peer, message}},
 		Changes: []Change{{member, "introduced"}},
@@ -110,14 +109,14 @@
 	}
 	machine.self.State = Alive
 	machine.incrementVersion()
-	return Output{Sends: machine.gossip(now)}
+	return Output{Sends: machine.gossip()}
 }
 
 // Leave changes the state of this instance to leaving and announces it to the peers.
 func (machine *Machine) Leave(now time.Time) Output {
 	machine.self.State = Leaving
 	machine.incrementVersion()
-	return Output{Sends: machine.gossip(now)}
+	return Output{Sends: machine.gossip()}
 }
 
 // SetLoad changes the load of this instance and announces it to the peers.
@@ -127,7 +126,7 @@
 	}
 	machine.self.Load = load
 	machine.incrementVersion()
-	return Output{Sends: machine.gossip(now)}
+	return Output{Sends: machine.gossip()}
 }
 
 // Receive handles a message from a peer.
@@ -135,20 +134,32 @@
 	if message.From.Name == machine.self.Name && message.From.Incarnation == machine.self.Incarnation {
 		return Output{}
 	}
-	output := machine.Merge(now, append([]Member{message.From}, message.Updates...))
+	started := machine.hasStarted(message.From)
+	output := machine.Merge(now, []Member{message.From})
+	if message.Type == Members {
+		machine.handleMembers(now, message, &output)
+		return output
+	}
+	output.add(machine.Merge(now, message.Updates))
 	switch message.Type {
 	case Ping:
-		reply := machine.newMessage(Ack, message.Seq)
+		reply := machine.newMessage(Ack, message.Seq, message.From)
 		reply.Responder = machine.self.Name
 		reply.Updates = machine.appendRefutable(message.From, reply.Updates)
 		output.Sends = append(output.Sends, Send{message.From.Peer, reply})
+		if started {
+			output.Sends = append(output.Sends, machine.introducePeers(message.From)...)
+		}
 	case PingRequest:
 		machine.seq++
-		machine.relays[machine.seq] = relay{message.From.Peer, message.Seq, now}
-		output.Sends = append(output.Sends, Send{message.PingAddress, machine.newMessage(Ping, machine.seq)})
+		machine.relays[machine.seq] = relay{message.From, message.Seq, now}
+		ping := Message{Type: Ping, From: machine.self, Seq: machine.seq}
+		output.Sends = append(output.Sends, Send{message.PingAddress, ping})
 	case Ack:
 		output.Sends = append(output.Sends, machine.handleAck(message)...)
-	case Gossip:
+	case Pull:
+		output.Sends = append(output.Sends, machine.answerPull(message)...)
+	case Gossip, Members:
 	}
 	return output
 }
@@ -164,14 +175,23 @@
 		return nil
 	}
 	delete(machine.relays, message.Seq)
-	answer := machine.newMessage(Ack, relay.seq)
+	answer := machine.newMessage(Ack, relay.seq, relay.requester)
 	answer.Responder = message.Responder
-	return []Send{{relay.requester, answer}}
+	return []Send{{relay.requester.Peer, answer}}
 }
 
-// Merge applies the descriptions that supersede the known ones. An unknown member
-// that is reported dead is not added.
+// Merge applies the descriptions that supersede the known ones, and queues them for
+// gossip. An unknown member that is reported dead is not added.
 func (machine *Machine) Merge(now time.Time, updates []Member) Output {
+	output := machine.learn(now, updates)
+	for _, change := range output.Changes {
+		machine.broadcast(change.Member)
+	}
+	return output
+}
+
+// learn applies the descriptions like Merge, but does not queue them for gossip.
+func (machine *Machine) learn(now time.Time, updates []Member) Output {
 	var output Output
 	for _, update := range updates {
 		if update.Name == machine.self.Name {
@@ -185,7 +205,8 @@
 		if !ok && update.State == Dead {
 			continue
 		}
-		output.Changes = append(output.Changes, machine.update(now, update, "reported by a peer"))
+		machine.store(now, update)
+		output.Changes = append(output.Changes, Change{update, "reported by a peer"})
 	}
 	return output
 }
@@ -200,6 +221,9 @@
 		machine.restartSuspicions(now)
 	}
 	machine.lastTick = now
+	if machine.firstTick.IsZero() {
+		machine.firstTick = now
+	}
 	machine.checkTimeouts(now, &output)
 	if now.Sub(machine.lastProbe) >= probePeriod {
 		machine.lastProbe = now
@@ -209,9 +233,8 @@
 		machine.lastDeadProbe = now
 		output.Sends = append(output.Sends, machine.probeDead(now)...)
 	}
-	if machine.broadcasts.Len() > 0 {
-		output.Sends = append(output.Sends, machine.gossip(now)...)
-	}
+	output.Sends = append(output.Sends, machine.pull(now)...)
+	output.Sends = append(output.Sends, machine.gossip()...)
 	return output
 }
 
@@ -220,34 +243,6 @@
 	return machine.version
 }
 
-// RandomPeers returns up to n different random peers that are not dead.
-func (machine *Machine) RandomPeers(n int) []Member {
-	var picked []Member
-	var seen []int
-	for tries := 0; len(picked) < n && len(seen) < len(machine.names) && tries < drawsPerPeer*n; tries++ {
-		index := machine.random.IntN(len(machine.names))
-		if slices.Contains(seen, index) {
-			continue
-		}
-		seen = append(seen, index)
-		if entry := machine.members[machine.names[index]]; entry.State != Dead {
-			picked = append(picked, entry.Member)
-		}
-	}
-	return picked
-}
-
-// GossipMessage returns a gossip message with the pending updates. Callers may attach
-// data of their own to it.
-func (machine *Machine) GossipMessage() Message {
-	return machine.newMessage(Gossip, 0)
-}
-
-func (machine *Machine) newMessage(messageType Type, seq uint64) Message {
-	return Message{Type: messageType, From: machine.self, Seq: seq,
-		Updates: machine.broadcasts.Take(updatesPerMessage, len(machine.members)+1)}
-}
-
 // appendRefutable adds the known description of the member if it is suspect or dead,
 // so that the member can refute it.
 func (machine *Machine) appendRefutable(member Member, updates []Member) []Member {
@@ -277,15 +272,17 @@
 func (machine *Machine) incrementVersion() {
 	machine.version++
 	machine.self.Version++
-	machine.broadcasts.Put(machine.self.Name, machine.self)
+	machine.broadcast(machine.self)
 }
 
 // store saves the description of a member and updates the indexes.
 func (machine *Machine) store(now time.Time, member Member) {
 	machine.version++
-	if _, known := machine.members[member.Name]; !known {
-		at, _ := slices.BinarySearch(machine.names, member.Name)
-		machine.names = slices.Insert(machine.names, at, member.Name)
+	if known, ok := machine.members[member.Name]; !ok {
+		machine.groupOf(member).add(member.Name)
+	} else if known.DataCentre != member.DataCentre {
+		machine.groupOf(known.Member).remove(member.Name)
+		machine.groupOf(member).add(member.Name)
 	}
 	machine.members[member.Name] = &entry{member, now}
 	delete(machine.timed, member.Name)
@@ -296,25 +293,21 @@
 
 func (machine *Machine) remove(name string) {
 	machine.version++
+	machine.groupOf(machine.members[name].Member).remove(name)
 	delete(machine.members, name)
 	delete(machine.timed, name)
-	if at, found := slices.BinarySearch(machine.names, name); found {
-		machine.names = slices.Delete(machine.names, at, at+1)
-	}
 }
 
 // update saves a changed description of a member and queues it for gossip.
 func (machine *Machine) update(now time.Time, member Member, reason string) Change {
 	machine.store(now, member)
-	machine.broadcasts.Put(member.Name, member)
+	machine.broadcast(member)
 	return Change{member, reason}
 }
 
-// gossip returns gossip messages with the pending updates to random peers.
-func (machine *Machine) gossip(time.Time) []Send {
-	var sends []Send
-	for _, member := range machine.RandomPeers(gossipFanout) {
-		sends = append(sends, Send{member.Peer, machine.newMessage(Gossip, 0)})
-	}
-	return sends
+// add appends the results of another step.
+func (output *Output) add(other Output) {
+	output.Sends = append(output.Sends, other.Sends...)
+	output.Changes = append(output.Changes, other.Changes...)
+	output.Replaced = output.Replaced || other.Replaced
 }
--- a/reel/member/member_test.go
+++ b/reel/member/member_test.go
@@ -16,16 +16,25 @@
 	convergenceSteps = 300 // steps without faults, after which all instances must agree
 )
 
+// fataler is implemented by testing.T and rapid.T.
+type fataler interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
 // fleet is a simulated network of state machines with message loss and partitions.
 // Its clock advances in steps.
 type fleet struct {
-	t        *rapid.T
+	t        fataler
 	now      time.Time
 	nodes    []*node
 	loss     float64 // probability that a message is lost
 	random   *rand.Rand
 	started  uint64
 	inFlight []Send
+	centres  int // number of data centres, over which the instances are spread in turn
+	crossed  int // descriptions of members sent from one data centre to another
+	hops     int // messages that can follow one another within a step, or 0 for one, with a check of each change
 }
 
 type node struct {
@@ -36,12 +45,16 @@
 }
 
 func address(number int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 7000)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(number >> 8), byte(number)}), 7000)
+}
+
+func numberOf(address netip.AddrPort) int {
+	bytes := address.Addr().As4()
+	return int(bytes[2])<<8 | int(bytes[3])
 }
 
-func newFleet(t *rapid.T, size int) *fleet {
-	fleet := &fleet{t: t, now: time.Unix(1_700_000_000, 0),
-		random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))}
+func newFleet(t fataler, seed uint64, size, centres int) *fleet {
+	fleet := &fleet{t: t, now: time.Unix(1_700_000_000, 0), centres: centres, random: rand.New(rand.NewPCG(seed, 1))}
 	for number := range size {
 		fleet.nodes = append(fleet.nodes, &node{})
 		fleet.start(number)
@@ -49,9 +62,12 @@
 	return fleet
 }
 
+func (fleet *fleet) dataCentre(number int) string { return fmt.Sprint("centre-", number%fleet.centres) }
+
 func (fleet *fleet) start(number int) {
 	fleet.started++
-	self := Member{Name: fmt.Sprint("instance-", number), Peer: address(number), Incarnation: fleet.started}
+	self := Member{Name: fmt.Sprintf("instance-%04d", number), DataCentre: fleet.dataCentre(number), Peer: address(number),
+		Incarnation: fleet.started}
 	fleet.nodes[number] = &node{Machine: New(self, fleet.random), up: true, incarnations: map[string]uint64{}}
 	fleet.inFlight = append(fleet.inFlight, fleet.nodes[number].Ready(fleet.now).Sends...)
 	fleet.pingSeeds(number)
@@ -75,13 +91,8 @@
 func (fleet *fleet) run(steps int) {
 	for count := range steps {
 		fleet.now = fleet.now.Add(step)
-		arriving := fleet.inFlight
-		fleet.inFlight = nil
-		for _, send := range arriving {
-			to, from := int(send.To.Addr().As4()[3]), int(send.Message.From.Peer.Addr().As4()[3])
-			if fleet.reaches(from, to) {
-				fleet.apply(to, fleet.nodes[to].Receive(fleet.now, send.Message))
-			}
+		for range max(fleet.hops, 1) {
+			fleet.deliver()
 		}
 		for number, node := range fleet.nodes {
 			if node.up {
@@ -94,10 +105,28 @@
 	}
 }
 
+// deliver delivers the messages in flight, and puts those that answer them in flight.
+func (fleet *fleet) deliver() {
+	arriving := fleet.inFlight
+	fleet.inFlight = nil
+	for _, send := range arriving {
+		to, from := numberOf(send.To), numberOf(send.Message.From.Peer)
+		if fleet.dataCentre(to) != fleet.dataCentre(from) {
+			fleet.crossed += 1 + len(send.Message.Updates)
+		}
+		if fleet.reaches(from, to) {
+			fleet.apply(to, fleet.nodes[to].Receive(fleet.now, send.Message))
+		}
+	}
+}
+
 // apply sends the messages of a step and checks that no member's incarnation decreases.
 func (fleet *fleet) apply(number int, output Output) {
 	node := fleet.nodes[number]
 	fleet.inFlight = append(fleet.inFlight, output.Sends...)
+	if fleet.hops > 0 {
+		return
+	}
 	for _, member := range node.Members() {
 		if member.Incarnation < node.incarnations[member.Name] {
 			fleet.t.Fatalf("instance %d went back to incarnation %d of %s", number, member.Incarnation, member.Name)
@@ -126,7 +155,7 @@
 // checks that all instances agree on the members after the faults end.
 func TestConvergence(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		fleet := newFleet(t, rapid.IntRange(2, 7).Draw(t, "instances"))
+		fleet := newFleet(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 7).Draw(t, "instances"), rapid.IntRange(1, 3).Draw(t, "data centres"))
 		for range rapid.IntRange(1, 8).Draw(t, "faults") {
 			number := rapid.IntRange(0, len(fleet.nodes)-1).Draw(t, "instance")
 			node := fleet.nodes[number]
--- a/reel/member/messages.go
+++ b/reel/member/messages.go
@@ -92,6 +92,8 @@
 	Ack
 	PingRequest
 	Gossip
+	Pull    // a query for all members that the receiver knows
+	Members // a part of the members that the sender knows
 )
 
 // Message is a membership message from one instance to another.
@@ -102,6 +104,8 @@
 	PingAddress netip.AddrPort `msgpack:"a"`           // of the instance to ping, in a PingRequest
 	Responder   string         `msgpack:"b,omitempty"` // name of the instance that answered the ping, in an Ack
 	Updates     []Member       `msgpack:"u,omitempty"`
+	Digest      uint64         `msgpack:"h,omitempty"` // of the members that the sender of a Pull knows
+	Complete    bool           `msgpack:"e,omitempty"` // whether these Members are the last ones, and none is missing
 	Attachment  []byte         `msgpack:"x,omitempty"` // data of the caller, which the protocol does not read
 }
 
--- a/reel/member/probe.go
+++ b/reel/member/probe.go
@@ -13,10 +13,34 @@
 	return machine.seq
 }
 
+// probeNext probes members of the own data centre in each round, and one of another data centre each farProbePeriod. While
+// one of those is suspect, its data centre may be lost, so that as many of them are probed in each round.
 func (machine *Machine) probeNext(now time.Time) []Send {
+	sends := machine.probeGroup(now, &machine.near, probesPerPeriod)
+	if machine.suspectsFar() {
+		return append(sends, machine.probeGroup(now, &machine.far, probesPerPeriod)...)
+	}
+	if len(sends) > 0 && now.Sub(machine.lastFarProbe) < farProbePeriod {
+		return sends
+	}
+	machine.lastFarProbe = now
+	return append(sends, machine.probeGroup(now, &machine.far, max(1, probesPerPeriod-len(sends)))...)
+}
+
+// suspectsFar reports whether a member of another data centre is suspect.
+func (machine *Machine) suspectsFar() bool {
+	for name := range machine.timed {
+		if member := machine.members[name]; member.State == Suspect && member.DataCentre != machine.self.DataCentre {
+			return true
+		}
+	}
+	return false
+}
+
+func (machine *Machine) probeGroup(now time.Time, group *group, count int) []Send {
 	var sends []Send
-	for range min(probesPerPeriod, len(machine.members)) {
-		name, ok := machine.nextToProbe()
+	for range min(count, len(group.names)) {
+		name, ok := machine.nextToProbe(group)
 		if !ok {
 			break
 		}
@@ -27,30 +51,30 @@
 
 func (machine *Machine) ping(now time.Time, name string) Send {
 	member := machine.members[name].Member
-	message := machine.newMessage(Ping, machine.startProbe(now, name))
+	message := machine.newMessage(Ping, machine.startProbe(now, name), member)
 	message.Updates = machine.appendRefutable(member, message.Updates)
 	return Send{member.Peer, message}
 }
 
-// nextToProbe returns the next member to probe. It iterates over all members that are
+// nextToProbe returns the next member of the group to probe. It iterates over all members that are
 // not dead in random order and shuffles them again after each round.
-func (machine *Machine) nextToProbe() (string, bool) {
+func (machine *Machine) nextToProbe(group *group) (string, bool) {
 	for range 2 {
-		for len(machine.probeOrder) > 0 {
-			name := machine.probeOrder[0]
-			machine.probeOrder = machine.probeOrder[1:]
+		for len(group.probeOrder) > 0 {
+			name := group.probeOrder[0]
+			group.probeOrder = group.probeOrder[1:]
 			if entry, ok := machine.members[name]; ok && entry.State != Dead {
 				return name, true
 			}
 		}
-		machine.probeOrder = machine.probeOrder[:0]
-		for _, name := range machine.names {
+		group.probeOrder = group.probeOrder[:0]
+		for _, name := range group.names {
 			if machine.members[name].State != Dead {
-				machine.probeOrder = append(machine.probeOrder, name)
+				group.probeOrder = append(group.probeOrder, name)
 			}
 		}
-		machine.random.Shuffle(len(machine.probeOrder), func(i, j int) {
-			machine.probeOrder[i], machine.probeOrder[j] = machine.probeOrder[j], machine.probeOrder[i]
+		machine.random.Shuffle(len(group.probeOrder), func(i, j int) {
+			group.probeOrder[i], group.probeOrder[j] = group.probeOrder[j], group.probeOrder[i]
 		})
 	}
 	return "", false
@@ -106,7 +130,7 @@
 		if peer.Name == name || len(sends) == indirectProbes {
 			continue
 		}
-		message := machine.newMessage(PingRequest, seq)
+		message := machine.newMessage(PingRequest, seq, peer)
 		message.PingAddress = entry.Peer
 		sends = append(sends, Send{peer.Peer, message})
 	}
@@ -125,6 +149,7 @@
 	case Joining, Alive:
 		changed.State = Suspect
 		output.Changes = append(output.Changes, machine.update(now, changed, "did not answer a probe"))
+		output.Sends = append(output.Sends, machine.ping(now, name)) // lets a member that lives refute the suspicion at once
 	case Leaving:
 		changed.State = Dead
 		output.Changes = append(output.Changes, machine.update(now, changed, "left"))
--- a/reel/replication/replication.go
+++ b/reel/replication/replication.go
@@ -14,9 +14,9 @@
 	// it in one packet of the network.
 	marksPerMessage  = 8
 	lossesPerMessage = 16
-	// transmitFleet is the size of the fleet for which the number of transmissions of a changed mark by each instance is
-	// chosen, six. It does not grow with the fleet: the digests show those that no transmission reached.
-	transmitFleet = 1
+	// transmitLimit is the number of transmissions of a changed mark by each instance. It does not grow with the fleet: the
+	// digests show those that no transmission reached.
+	transmitLimit = 6
 	// queuedPerMessage is the maximum number of changed marks in one message.
 	queuedPerMessage = 4
 	// catchUpPeriod is the period in which catchUpMessages is the maximum number of messages with marks to peers whose
@@ -69,8 +69,8 @@
 	if !machine.Pending() {
 		return message
 	}
-	queued := machine.crashed.Take(queuedPerMessage, transmitFleet)
-	queued = append(queued, machine.others.Take(queuedPerMessage-len(queued), transmitFleet)...)
+	queued := machine.crashed.Take(queuedPerMessage, transmitLimit)
+	queued = append(queued, machine.others.Take(queuedPerMessage-len(queued), transmitLimit)...)
 	for _, fingerprint := range queued {
 		if mark, ok := machine.tracker.Mark(now, fingerprint); ok {
 			message.Marks = append(message.Marks, mark)
--- a/shallotreel/roster/roster.go
+++ b/shallotreel/roster/roster.go
@@ -229,7 +229,7 @@
 	}
 	roster.pushes--
 	for _, peer := range roster.machine.RandomPeers(markFanout) {
-		roster.send(member.Send{To: peer.Peer, Message: roster.machine.GossipMessage()})
+		roster.send(member.Send{To: peer.Peer, Message: roster.machine.GossipMessage(peer)})
 	}
 }
 
@@ -247,7 +247,7 @@
 		return
 	}
 	if marks, ok := roster.marks.CatchUp(now); ok {
-		roster.sendDatagram(message.members.From.Peer, datagram{roster.machine.GossipMessage(), marks})
+		roster.sendDatagram(message.members.From.Peer, datagram{roster.machine.GossipMessage(message.members.From), marks})
 	}
 }
 
