Extra attempts: divide the slack by the instances that get callers

Cause: the bound on extra attempts is a share of the requests and a slack for all instances together.

Ruled out: to give all of it to the working sets. Callers keep old addresses, so instances outside get some requests, and must be able to repeat what a target refused.

Change: four fifths of the slack belong to the working sets, as they will be once all that join serve, the rest to the others. As before half of each share is used, so that the bound holds while sets change, and the highest numbers ever known count. TestFewServeAll draws it, and a lower bound that the code before did not reach (one extra attempt).

--- a/reel/extra/budget.go
+++ b/reel/extra/budget.go
@@ -63,11 +63,11 @@
 	budget.requests++
 }
 
-// Spend reports whether the budget allows another extra attempt, and counts it if so. The slack is divided among the
-// given number of instances, of which each uses half of its share.
-func (budget *Budget) Spend(now time.Time, purpose Purpose, instances int) bool {
+// Spend reports whether the budget allows another extra attempt, and counts it if so. The share is the part of the slack
+// that belongs to this instance, between 0 and 1. Half of it is used, so that the bound holds while the shares change.
+func (budget *Budget) Spend(now time.Time, purpose Purpose, share float64) bool {
 	budget.advance(now)
-	allowance := budget.limits.Ratio*float64(budget.requests) + budget.limits.Slack/float64(2*max(instances, 1))
+	allowance := budget.limits.Ratio*float64(budget.requests) + budget.limits.Slack*share/2
 	allowance *= safetyFactor
 	if purpose == Hedge {
 		allowance *= hedgeShare
--- a/reel/extra/budget_test.go
+++ b/reel/extra/budget_test.go
@@ -38,7 +38,7 @@
 					first++
 				}
 				for range wanted * rate {
-					if budget.Spend(now, Retry, instances) {
+					if budget.Spend(now, Retry, 1.0/instances) {
 						extra++
 					}
 				}
@@ -67,9 +67,9 @@
 	for range 200 {
 		budget.CountRequest(epoch)
 	}
-	for budget.Spend(epoch, Hedge, 9) {
+	for budget.Spend(epoch, Hedge, 1.0/9) {
 	}
-	if !budget.Spend(epoch, Retry, 9) {
+	if !budget.Spend(epoch, Retry, 1.0/9) {
 		t.Error("hedges used the whole budget, want a reserve for retries")
 	}
 }
@@ -86,7 +86,7 @@
 func TestSetLimits(t *testing.T) {
 	spend := func(budget *Budget, now time.Time) int {
 		spent := 0
-		for budget.Spend(now, Retry, 9) {
+		for budget.Spend(now, Retry, 1.0/9) {
 			spent++
 		}
 		return spent
@@ -116,3 +116,46 @@
 		})
 	}
 }
+
+// TestFewServeAll plays a large fleet of which a few instances get all requests, and a growing number of them under a burst. The
+// pattern: the slack of instances that get no requests is lost, so that those that do cannot repeat what a target refused. All
+// together must stay under the bound also while the set changes.
+func TestFewServeAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: float64(rapid.IntRange(20, 500).Draw(t, "slack"))}
+		size := rapid.IntRange(2, 200).Draw(t, "instances")
+		budgets, shares := make([]*Budget, size), make([]Shares, size)
+		for i := range budgets {
+			budgets[i] = NewBudget(epoch, limits)
+		}
+		working := rapid.IntRange(1, size).Draw(t, "working")
+		var extras []int
+		for tenth := range 200 {
+			if tenth == 60 {
+				working = rapid.IntRange(working, size).Draw(t, "working later")
+			}
+			now, count := epoch.Add(time.Duration(tenth)*100*time.Millisecond), 0
+			for i, budget := range budgets {
+				shares[i].SetInstances(working, size-working)
+				for budget.Spend(now, Retry, shares[i].Of(i >= working)) {
+					count++
+				}
+			}
+			extras = append(extras, count)
+		}
+		for from := 0; from+100 <= len(extras); from++ {
+			if got := sum(extras, from, from+100); float64(got) > limits.Slack {
+				t.Fatalf("%d extra attempts in the window after %d tenths of a second, the slack is %v", got, from, limits.Slack)
+			}
+		}
+	})
+	var shares Shares
+	shares.SetInstances(36, 159)
+	budget, spent := NewBudget(epoch, Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 430}), 0
+	for budget.Spend(epoch, Retry, shares.Of(false)) {
+		spent++
+	}
+	if want := 3; spent < want {
+		t.Errorf("an instance of the working set may send %d extra attempts, want %d at least", spent, want)
+	}
+}
--- a/reel/workingset/workingset.go
+++ b/reel/workingset/workingset.go
@@ -62,6 +62,21 @@
 	return sets
 }
 
+// ExpectedSize returns the number of instances in the working sets of all data centres once those that join serve too.
+func ExpectedSize(members []member.Member) int {
+	joined := slices.Clone(members)
+	for i := range joined {
+		if joined[i].State == member.Joining {
+			joined[i].State = member.Alive
+		}
+	}
+	size := 0
+	for _, set := range All(joined) {
+		size += len(set)
+	}
+	return size
+}
+
 // Contains reports whether the member with the name is in the working set.
 func Contains(set []member.Member, name string) bool {
 	return slices.ContainsFunc(set, func(candidate member.Member) bool { return candidate.Name == name })
--- a/reel/workingset/workingset_test.go
+++ b/reel/workingset/workingset_test.go
@@ -60,6 +60,16 @@
 	}
 }
 
+func TestExpectedSize(t *testing.T) {
+	members := append(fleet(repeat(400, 36)...), member.Member{Name: "other", DataCentre: "b", State: member.Joining})
+	for i := range 30 {
+		members[i].State = member.Joining
+	}
+	if got := ExpectedSize(members); got != 7 {
+		t.Errorf("the expected size is %d, want 7", got)
+	}
+}
+
 // TestStability draws fleets and checks that all instances compute the same set, that a set is only extended under more
 // load, and that the loss of a member replaces no other one.
 func TestStability(t *testing.T) {
--- a/shallotreel/ingress/router.go
+++ b/shallotreel/ingress/router.go
@@ -32,14 +32,15 @@
 	lastAttemptID  uint64
 	onHealthChange func(choice.HealthChange) // called without the lock when the estimated health of a target or service changes
 	home           member.Member             // name and data centre of this instance
-	maxInstances   int                       // highest number of instances known at one time, by which the slack is divided
+	slack          extra.Shares
+	idle           bool // whether this instance is outside the working set
 }
 
 // NewRouter returns a router without traffic statistics for the instance home. It calls
 // onHealthChange for each change in the estimated health of a target or service.
 func NewRouter(catalogue Catalogue, pool *connpool.Pool, limits extra.Limits, home member.Member, random *rand.Rand, onHealthChange func(choice.HealthChange)) *Router {
 	router := &Router{catalogue: catalogue, pool: pool, limits: limits, selector: choice.New(random), onHealthChange: onHealthChange,
-		budgets: map[string]*extra.Budget{}, rotations: map[string]*rotation{}, estimator: softdeadline.New(), home: home, maxInstances: 1}
+		budgets: map[string]*extra.Budget{}, rotations: map[string]*rotation{}, estimator: softdeadline.New(), home: home}
 	router.selector.SetFleet(choice.Fleet{DataCentre: home.DataCentre, Instances: map[string]int{home.DataCentre: 1}, Total: 1})
 	return router
 }
@@ -62,7 +63,9 @@
 			fleet.Total++
 		}
 	}
-	router.maxInstances = max(router.maxInstances, len(members))
+	router.idle = fleet.Idle
+	working := workingset.ExpectedSize(members)
+	router.slack.SetInstances(working, len(members)-working)
 	router.selector.SetFleet(fleet)
 }
 
@@ -114,7 +117,7 @@
 func (router *Router) SpendExtra(now time.Time, service string, purpose extra.Purpose) bool {
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
-	return router.budget(now, service).Spend(now, purpose, router.maxInstances)
+	return router.budget(now, service).Spend(now, purpose, router.slack.Of(router.idle))
 }
 
 // LatencyQuantile returns the latency below which the given share of the route's answers arrives, or a third of the
