--- a/reel/member/member.go
+++ b/reel/member/member.go
@@ -103,7 +103,7 @@
 
 // Ready changes the state of this instance from joining to alive and announces it
 // to the peers.
-func (machine *Machine) Ready(now time.Time) Output {
+func (machine *Machine) Ready(_ time.Time) Output {
 	if machine.self.State != Joining {
 		return Output{}
 	}
@@ -113,14 +113,14 @@
 }
 
 // Leave changes the state of this instance to leaving and announces it to the peers.
-func (machine *Machine) Leave(now time.Time) Output {
+func (machine *Machine) Leave(_ time.Time) Output {
 	machine.self.State = Leaving
 	machine.incrementVersion()
 	return Output{Sends: machine.gossip()}
 }
 
 // SetLoad changes the load of this instance and announces it to the peers.
-func (machine *Machine) SetLoad(now time.Time, load Load) Output {
+func (machine *Machine) SetLoad(_ time.Time, load Load) Output {
 	if machine.self.Load == load {
 		return Output{}
 	}
