Test of a canceled call: cancel it once the target has the request

If the connection did not stand by then, the cancellation ended the dial, and the target had no connection to see closed.

Change: the test waits until the target has read the request.

--- a/shallotreel/connpool/connection_test.go
+++ b/shallotreel/connpool/connection_test.go
@@ -214,16 +214,20 @@
 }
 
 func TestCancel(t *testing.T) {
-	closed := make(chan bool, 1)
+	received, closed := make(chan bool, 1), make(chan bool, 1)
 	address := serve(t, func(_ net.Conn, reader *bufio.Reader) {
-		read(reader)
+		received <- read(reader) == "one"
 		_, err := reader.ReadByte()
 		closed <- err != nil
 	})
 	pool := NewPool()
 	call, results := newCall(address, "one")
 	pool.Start(call)
-	time.Sleep(20 * time.Millisecond)
+	select {
+	case <-received:
+	case <-time.After(waitLimit):
+		t.Fatal("the target did not receive the request")
+	}
 	pool.Cancel(call)
 	if result := await(t, results); result.Err != ErrCanceled {
 		t.Errorf("ended with error %v, want ErrCanceled", result.Err)
