--- a/reel/member/member.go
+++ b/reel/member/member.go
@@ -18,7 +18,6 @@
 	probesPerPeriod  = 2                      // members of the own data centre probed in each round
 	farProbePeriod   = time.Second            // between two probes of members of other data centres
 	indirectProbes   = 3                      // peers that are requested to ping a member
-	drawsPerPeer     = 20                     // maximum number of random draws of RandomPeers for each requested peer
 )
 
 // Machine is the state machine of the membership protocol on one instance. It is
@@ -39,7 +38,7 @@
 	lastDeadProbe time.Time
 	lastTick      time.Time
 	firstTick     time.Time
-	complete      bool // whether a peer sent all members that it knew, or this instance knows them for another reason
+	complete      bool // whether this process should know all members: a peer sent them, or it has run for startTime
 	nextPull      time.Time
 }
 
@@ -143,10 +142,7 @@
 	output.add(machine.Merge(now, message.Updates))
 	switch message.Type {
 	case Ping:
-		reply := machine.newMessage(Ack, message.Seq, message.From)
-		reply.Responder = machine.self.Name
-		reply.Updates = machine.appendRefutable(message.From, reply.Updates)
-		output.Sends = append(output.Sends, Send{message.From.Peer, reply})
+		output.Sends = append(output.Sends, machine.answerPing(message))
 		if started {
 			output.Sends = append(output.Sends, machine.introducePeers(message.From)...)
 		}
@@ -164,6 +160,14 @@
 	return output
 }
 
+// answerPing returns the acknowledgement of a ping.
+func (machine *Machine) answerPing(message Message) Send {
+	reply := machine.newMessage(Ack, message.Seq, message.From)
+	reply.Responder = machine.self.Name
+	reply.Updates = machine.appendRefutable(message.From, reply.Updates)
+	return Send{message.From.Peer, reply}
+}
+
 // handleAck ends the probe that the message acknowledges. If the ping was sent on
 // behalf of another instance, it returns the acknowledgement to forward.
 func (machine *Machine) handleAck(message Message) []Send {
