Connection pool: a target whose process ends while the pool connects no longer listens

If the listener closes during that, the connection is reset while it is made, which counted as "not known" at once, although a second one would have been refused.

Change: a reset of that dial is followed by the second one, as the close of a kept connection is.

--- a/shallotreel/connpool/connection_test.go
+++ b/shallotreel/connpool/connection_test.go
@@ -277,7 +277,7 @@
 			t.Errorf("a target that lost one response is reported as %v, want %v", result.Listens, Accepted)
 		}
 	})
-	for name, linger := range map[string]time.Duration{"at once": 0, "a moment later": 2 * time.Millisecond} {
+	for name, linger := range map[string]time.Duration{"at once": 0, "while the pool connects": 100 * time.Microsecond, "a moment later": 2 * time.Millisecond} {
 		t.Run("the target stops listening "+name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -214,11 +214,14 @@
 	connection.readResponses()
 }
 
-// listens finds out whether the target accepts connections. A target that is about to end may accept one and close it
-// soon after; a second one then shows whether it still listens.
+// listens finds out whether the target accepts connections. A target that is about to end may reset one, or accept it and
+// close it soon after; a second one then shows whether it still listens.
 func (pool *Pool) listens(address netip.AddrPort) Listens {
 	for range 2 {
 		conn, err := net.DialTimeout("tcp", address.String(), refusalTimeout)
+		if errors.Is(err, syscall.ECONNRESET) {
+			continue
+		}
 		if err != nil {
 			return listensAfter(err)
 		}
