Test of crashing requests: say when each repeat arrived, and what each instance knew

A run of the known red scenario showed only the number of late repeats. The lines now bear the instance and milliseconds, and a failing run prints the arrivals and crashes beside them.

--- a/shallotreel/front/crashing_request_test.go
+++ b/shallotreel/front/crashing_request_test.go
@@ -130,7 +130,7 @@
 	if *program != "" {
 		return startProgram(fleet.t, config)
 	}
-	front, config := startOnFreePorts(fleet.t, config, &fleet.log)
+	front, config := startOnFreePorts(fleet.t, config, instanceLog{&fleet.log, config.Name})
 	return front.close, config
 }
 
@@ -271,6 +271,8 @@
 			if late > maxLateRepeat {
 				t.Errorf("%d repeats of the request reached targets later than %v after crash %d, allowed are %d",
 					late, spreadTime, freeCrashes, maxLateRepeat)
+				t.Logf("arrivals and crashes:\n%s", strings.Join(fleet.backend.lines(), "\n"))
+				t.Logf("lines about the requests:\n%s", strings.Join(fleet.log.about(crashingRequest), "\n"))
 			}
 			if fleet.refused > 0 {
 				t.Errorf("%d harmless requests are refused by a mark", fleet.refused)
--- a/shallotreel/front/crashing_target_test.go
+++ b/shallotreel/front/crashing_target_test.go
@@ -252,3 +252,20 @@
 	}
 	return crashes, late
 }
+
+// lines describes the arrivals of each crashing request and its crashes, in the order of time.
+func (backend *backend) lines() []string {
+	backend.mutex.Lock()
+	defer backend.mutex.Unlock()
+	var lines []string
+	for uri, history := range backend.sent {
+		for _, arrival := range history.arrivals {
+			lines = append(lines, arrival.at.Format(timeOfDay)+" arrives "+arrival.id+" "+uri)
+		}
+		for _, at := range history.crashes {
+			lines = append(lines, at.Format(timeOfDay)+" crash under "+uri)
+		}
+	}
+	slices.Sort(lines)
+	return lines
+}
