Suspect requests: one trial at a time at each instance

What callers saw: a request that had crashed three targets was sent to more of them by its repeats, 4 and 5 late ones where 3 are allowed.

Cause: a suspect request has one attempt, but nothing bounded how many repeats of it were tried at once. Each repeat that arrives before the outcome of the first is known is sent to another target, which crashes too. On a calm machine the outcome is known within milliseconds; beside 40 busy loops on eight processors, with the race detector, it took 3 s, and four repeats (10, 11, 16, 19 of one request) reached targets that ended within the same second.

Ruled out: the mark is not lost (each instance knows it as suspect before the repeats arrive), and the crashes are attributed, but late.

Change: a suspect request waits, unsent, while another one with the same content is tried at this instance. It is refused if its time to wait passes, goes on when the trial shows that the request runs, and is refused by the mark when it shows the opposite. A trial without an answer, or whose caller has gone, keeps the next one back until the time for its answer is over.

--- a/reel/query/end.go
+++ b/reel/query/end.go
@@ -69,6 +69,9 @@
 	if machine.finished {
 		return nil
 	}
+	if machine.queued {
+		return nil
+	}
 	if finish, ended := machine.checkTrial(now); ended {
 		return machine.finish(finish)
 	}
@@ -179,6 +182,7 @@
 // finish ends the request; the host cancels the attempts in flight.
 func (machine *Machine) finish(finish Finish) []Action {
 	machine.finished = true
+	machine.endTrial()
 	return []Action{finish}
 }
 
--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -50,6 +50,7 @@
 	trial           bool          // whether the request may have crashed a target before and has only one attempt until it is proven
 	suspect         bool          // whether the request began as a trial
 	trialUntil      time.Time     // when a trial without an answer ends
+	queued          bool          // whether the request waits for the trial of another one with the same content
 	quietRetryAfter time.Duration // until a service takes requests again whose targets want none now
 }
 
@@ -91,18 +92,27 @@
 	if finish, refused := machine.refuseEarly(now); refused {
 		return machine.finish(finish)
 	}
-	var actions []Action
-	machine.beginTrial(now)
 	for _, part := range machine.parts {
-		if part.failed {
-			continue
+		if !part.failed {
+			machine.router.CountRequest(now, part.service)
 		}
-		machine.router.CountRequest(now, part.service)
-		if !part.held {
+	}
+	return append(machine.startParts(now), machine.checkFinished(now)...)
+}
+
+// startParts sends the first attempts, of which a trial has one, unless the request waits for another trial.
+func (machine *Machine) startParts(now time.Time) []Action {
+	machine.beginTrial(now)
+	if machine.queued {
+		return nil
+	}
+	var actions []Action
+	for _, part := range machine.parts {
+		if !part.failed && !part.held {
 			actions = append(actions, machine.startAttempt(now, part, "first")...)
 		}
 	}
-	return append(actions, machine.checkFinished(now)...)
+	return actions
 }
 
 // Wake performs the capacity checks, hedges and timeouts that are due at the given time.
@@ -111,6 +121,12 @@
 		return nil
 	}
 	var actions []Action
+	if machine.queued {
+		if finish, ended := machine.checkQueued(now); ended {
+			return machine.finish(finish)
+		}
+		actions = machine.startParts(now)
+	}
 	for _, part := range machine.parts {
 		actions = append(actions, machine.advance(now, part)...)
 	}
@@ -120,6 +136,9 @@
 // NextWake returns the time by which the host must call Wake.
 func (machine *Machine) NextWake(now time.Time) time.Time {
 	next := machine.answerBy()
+	if machine.queued {
+		next = earliest(next, now.Add(capacityPollInterval))
+	}
 	if machine.trial && machine.plan.Route.Idempotent {
 		next = earliest(next, machine.trialUntil)
 	}
--- a/reel/query/router_test.go
+++ b/reel/query/router_test.go
@@ -23,6 +23,8 @@
 	requests   map[string]int           // by service
 	extraSpent int
 	verdict    quarantine.Verdict
+	tried      bool      // whether another request is being tried
+	nextTrial  time.Time // when the next trial may begin
 }
 
 func (router *router) Choose(_ time.Time, _ *catalogue.Route, service string, tried []string) (choice.Pick, bool) {
@@ -65,4 +67,16 @@
 	return router.verdict, quarantineTime
 }
 
+func (router *router) BeginTrial(now time.Time, _ quarantine.Fingerprint) bool {
+	if router.tried || now.Before(router.nextTrial) {
+		return false
+	}
+	router.tried = true
+	return true
+}
+
+func (router *router) EndTrial(_ quarantine.Fingerprint, next time.Time) {
+	router.tried, router.nextTrial = false, next
+}
+
 func (router *router) LatencyQuantile(*catalogue.Route, float64) time.Duration { return 20 * ms }
--- a/reel/query/trial.go
+++ b/reel/query/trial.go
@@ -12,20 +12,28 @@
 
 const (
 	reasonQuarantined = "the request crashed too many targets"
+	reasonQueued      = "the request may have crashed a target, and another one with the same content is being tried"
 	reasonTrial       = "the request may have crashed a target, and its single attempt got no answer"
 )
 
-// beginTrial holds back all parts but one if the request is suspected to crash targets.
+// beginTrial holds back all parts but one if the request is suspected to crash targets, or queues it while another one with
+// the same content is being tried: a target may crash under each.
 func (machine *Machine) beginTrial(now time.Time) {
 	verdict, _ := machine.router.Verdict(now, machine.plan.Fingerprint)
+	machine.queued = false
 	if verdict != quarantine.Suspect {
 		return
 	}
-	machine.trial, machine.suspect = true, true
-	machine.trialUntil = now.Add(trialFactor * machine.router.LatencyQuantile(machine.plan.Route, hedgeQuantile))
-	if machine.plan.SoftDeadline.After(machine.trialUntil) {
-		machine.trialUntil = machine.plan.SoftDeadline
+	machine.suspect = true
+	until := now.Add(trialFactor * machine.router.LatencyQuantile(machine.plan.Route, hedgeQuantile))
+	if machine.plan.SoftDeadline.After(until) {
+		until = machine.plan.SoftDeadline
 	}
+	if !machine.router.BeginTrial(now, machine.plan.Fingerprint) {
+		machine.queued = true
+		return
+	}
+	machine.trial, machine.trialUntil = true, until
 	parts := len(machine.parts)
 	begin := int(uint64(machine.plan.Fingerprint) % uint64(parts)) // spreads trials over the shards
 	first := true
@@ -42,6 +50,39 @@
 	return machine.suspect
 }
 
+// endTrial lets other requests with the same content be tried: at once if the trial has shown something, otherwise after the
+// time for its answer.
+func (machine *Machine) endTrial() {
+	if !machine.trial {
+		return
+	}
+	next := machine.trialUntil
+	if machine.proven || len(machine.attempts) == 0 {
+		next = time.Time{}
+	}
+	machine.trial = false
+	machine.router.EndTrial(machine.plan.Fingerprint, next)
+}
+
+// Cancel ends the request because its caller has gone.
+func (machine *Machine) Cancel() {
+	machine.finished = true
+	machine.endTrial()
+}
+
+// checkQueued reports whether the request must end because it has waited for the trial of another one for too long, or
+// because that one has shown that it crashes targets.
+func (machine *Machine) checkQueued(now time.Time) (Finish, bool) {
+	switch {
+	case machine.isQuarantined(now):
+		_, left := machine.router.Verdict(now, machine.plan.Fingerprint)
+		return Finish{Code: result.Quarantined, RetryAfter: left, Reason: reasonQuarantined}, true
+	case !now.Before(machine.waitUntil()):
+		return machine.failureFinish(reasonQueued), true
+	}
+	return Finish{}, false
+}
+
 // isQuarantined reports whether the request must not be sent to further targets.
 func (machine *Machine) isQuarantined(now time.Time) bool {
 	verdict, _ := machine.router.Verdict(now, machine.plan.Fingerprint)
@@ -63,7 +104,7 @@
 // release continues with parts that were held back: all of them once the request is proven, otherwise one at a time.
 func (machine *Machine) release(now time.Time) []Action {
 	if machine.proven {
-		machine.trial = false
+		machine.endTrial()
 	}
 	var actions []Action
 	for _, part := range machine.parts {
--- a/reel/query/trial_test.go
+++ b/reel/query/trial_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	"shallotreel.example/reel/catalogue"
 	"shallotreel.example/reel/quarantine"
 	"shallotreel.example/reel/result"
 )
@@ -149,3 +151,68 @@
 		session.assertEnd(result.Partial)
 	})
 }
+
+// TestSuspectRequestsAreTriedOneByOne guards against repeats of a crashing request that are all sent before it is known
+// what became of the first one.
+func TestSuspectRequestsAreTriedOneByOne(t *testing.T) {
+	queued := func(t *testing.T, route catalogue.Route) *session {
+		session := newSession(t, route)
+		session.router.verdict, session.router.tried = quarantine.Suspect, true
+		session.begin()
+		session.wake(10)
+		session.assertSends(0)
+		session.assertOpen()
+		return session
+	}
+	t.Run("the next one follows", func(t *testing.T) {
+		session := queued(t, scatterGather(5, 0.6))
+		session.router.EndTrial(0, at(40))
+		session.wake(30)
+		session.assertSends(0)
+		session.wake(40)
+		session.assertSends(1)
+	})
+	t.Run("all follow once it has run", func(t *testing.T) {
+		session := queued(t, scatterGather(5, 0.6))
+		session.router.verdict = quarantine.Clear
+		session.wake(20)
+		session.assertSends(5)
+	})
+	t.Run("refused once it has crashed too many targets", func(t *testing.T) {
+		session := queued(t, scatterGather(5, 0.6))
+		session.router.verdict = quarantine.Quarantined
+		session.wake(20)
+		session.assertSends(0)
+		session.assertEnd(result.Quarantined)
+	})
+	t.Run("refused unsent in time", func(t *testing.T) {
+		session := queued(t, scatterGather(5, 0.6))
+		session.wake(190)
+		session.assertSends(0)
+		session.assertEnd(result.NoTarget)
+	})
+	t.Run("a single one waits for a part of its time", func(t *testing.T) {
+		session := queued(t, single(true))
+		session.wake(190/capacityWaitDivisor + 1)
+		session.assertEnd(result.NoTarget)
+	})
+	for _, test := range []struct {
+		name string
+		end  func(session *session)
+		next time.Time
+	}{
+		{"the trial ends with its answer", func(session *session) { session.succeed(30, session.sends) }, time.Time{}},
+		{"an unanswered one after the time for the answer", func(session *session) { session.wake(190) }, at(190)},
+		{"one whose caller has gone, too", func(session *session) { session.machine.Cancel() }, at(190)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			session := newSession(t, scatterGather(5, 0.6))
+			session.router.verdict = quarantine.Suspect
+			session.begin()
+			test.end(session)
+			if session.router.tried || !session.router.nextTrial.Equal(test.next) {
+				t.Errorf("tried %v, next trial at %v, want %v", session.router.tried, session.router.nextTrial, test.next)
+			}
+		})
+	}
+}
--- a/shallotreel/crashwatch/crashwatch.go
+++ b/shallotreel/crashwatch/crashwatch.go
@@ -1,6 +1,7 @@
 package crashwatch
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -38,6 +39,7 @@
 	lines        int
 	pendingSince time.Time // start of the second to which pending applies
 	pending      int
+	trials       map[quarantine.Fingerprint]time.Time // when the next trial may begin, zero while one is in progress
 }
 
 type counters struct{ attributed, dismissed, pending, learned, refused, cleared, dropped tally.Counter }
@@ -45,6 +47,7 @@
 // New returns a Watch that keeps its marks in the tracker and calls replicate for each one that changes.
 func New(tracker *quarantine.Tracker, targets Catalogue, replicate func(quarantine.Fingerprint), log logrus.FieldLogger, scope tally.Scope) *Watch {
 	return &Watch{tracker: tracker, catalogue: targets, log: log, replicate: replicate, ledger: crash.NewLedger(),
+		trials: map[quarantine.Fingerprint]time.Time{},
 		counters: counters{attributed: scope.Counter("crashes_attributed"), dismissed: scope.Counter("crashes_dismissed"),
 			pending: scope.Counter("crashes_suspected"),
 			learned: scope.Counter("crash_marks_learned"),
@@ -66,6 +69,28 @@
 	return verdict, watch.tracker.Remaining(now, fingerprint)
 }
 
+// BeginTrial reports whether a suspect request with the fingerprint may be tried now. No other one may until EndTrial.
+func (watch *Watch) BeginTrial(now time.Time, fingerprint quarantine.Fingerprint) bool {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	if next, tried := watch.trials[fingerprint]; tried && (next.IsZero() || now.Before(next)) {
+		return false
+	}
+	watch.trials[fingerprint] = time.Time{}
+	return true
+}
+
+// EndTrial ends the trial; the next one may begin at the time given.
+func (watch *Watch) EndTrial(fingerprint quarantine.Fingerprint, next time.Time) {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	if next.IsZero() {
+		delete(watch.trials, fingerprint)
+		return
+	}
+	watch.trials[fingerprint] = next
+}
+
 // Sent records an attempt that is about to be sent.
 func (watch *Watch) Sent(attempt crash.Attempt) {
 	watch.mutex.Lock()
@@ -206,6 +231,9 @@
 	sweep := now.Sub(watch.sweptAt) >= sweepPeriod
 	if sweep {
 		watch.sweptAt = now
+		maps.DeleteFunc(watch.trials, func(_ quarantine.Fingerprint, next time.Time) bool {
+			return !next.IsZero() && !now.Before(next)
+		})
 	}
 	watch.mutex.Unlock()
 	if sweep {
--- a/shallotreel/crashwatch/fleet_test.go
+++ b/shallotreel/crashwatch/fleet_test.go
@@ -121,6 +121,9 @@
 	"a harmless request complete at one instance only": {seed: 3, instances: 9, shards: 2, targets: 3, idempotent: true,
 		down: 5410 * time.Millisecond, moves: true, maxDelay: 45 * time.Millisecond, loss: 0.20, duplicates: 0.25, lostAnswer: 0.01,
 		rivals: 3, queue: 567 * time.Millisecond},
+	"several trials at once at busy instances": {seed: 0xfe, instances: 3, shards: 1, targets: 3, idempotent: true, silent: true,
+		down: 1504 * time.Millisecond, sameID: true, maxDelay: 829 * time.Millisecond, loss: 0.14, duplicates: 0.16, lostAnswer: 0.04,
+		rivals: 1, kills: 1, stall: 829 * time.Millisecond},
 }
 
 func TestEarlierFailures(t *testing.T) {
@@ -169,6 +172,20 @@
 	})
 }
 
+// TestRepeatsAtBusyInstances guards against repeats of a crashing request that are all tried before the instance has
+// learned what became of the first one, since its machine is busy.
+func TestRepeatsAtBusyInstances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		drawn := drawConditions(t)
+		drawn.instances = rapid.IntRange(2, 3).Draw(t, "busy instances")
+		drawn.rivals = rapid.IntRange(0, 2).Draw(t, "rivals")
+		drawn.kills = rapid.IntRange(0, 1).Draw(t, "kills")
+		drawn.stall = time.Duration(rapid.IntRange(500, 3000).Draw(t, "stall ms")) * time.Millisecond
+		drawn.maxDelay = drawn.stall
+		playCulprit(t, drawn)
+	})
+}
+
 // TestCrashesWithoutCulprit guards against marks on requests that were running when targets crashed for other reasons.
 func TestCrashesWithoutCulprit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/shallotreel/crashwatch/simulated_instance_test.go
+++ b/shallotreel/crashwatch/simulated_instance_test.go
@@ -177,6 +177,16 @@
 	return 30 * time.Millisecond
 }
 
+// BeginTrial implements query.Router.
+func (instance *instance) BeginTrial(now time.Time, fingerprint quarantine.Fingerprint) bool {
+	return instance.watch.BeginTrial(now, fingerprint)
+}
+
+// EndTrial implements query.Router.
+func (instance *instance) EndTrial(fingerprint quarantine.Fingerprint, next time.Time) {
+	instance.watch.EndTrial(fingerprint, next)
+}
+
 // Verdict implements query.Router.
 func (instance *instance) Verdict(now time.Time, fingerprint quarantine.Fingerprint) (quarantine.Verdict, time.Duration) {
 	return instance.watch.Verdict(now, fingerprint)
--- a/shallotreel/crashwatch/simulated_request_test.go
+++ b/shallotreel/crashwatch/simulated_request_test.go
@@ -61,7 +61,7 @@
 	if session.finished {
 		return
 	}
-	wait := max(session.machine.NextWake(simulation.Now).Sub(simulation.Now), time.Millisecond)
+	wait := max(session.machine.NextWake(simulation.Now).Sub(simulation.Now), time.Millisecond) + simulation.stalled()
 	simulation.Schedule(wait, func() {
 		if !session.finished && session.lives() {
 			session.perform(session.machine.Wake(simulation.Now))
@@ -96,8 +96,18 @@
 	}
 }
 
-// end handles the end of an attempt as package ingress does.
+// end tells the instance of the end of the attempt.
 func (attempt *attempt) end(execution query.Execution, refused bool) {
+	simulation := attempt.session.instance.simulation
+	if stalled := simulation.stalled(); stalled > 0 {
+		simulation.Schedule(stalled, func() { attempt.handleEnd(execution, refused) })
+		return
+	}
+	attempt.handleEnd(execution, refused)
+}
+
+// handleEnd handles the end of an attempt as package ingress does.
+func (attempt *attempt) handleEnd(execution query.Execution, refused bool) {
 	session := attempt.session
 	instance, now := session.instance, session.instance.simulation.Now
 	if attempt.done || !session.lives() {
@@ -147,7 +157,7 @@
 	if finish.Code == result.Quarantined {
 		session.instance.watch.RecordRefusal(simulation.Now, session.request, session.fingerprint)
 	}
-	simulation.Schedule(lateAnswerWait, func() {
+	simulation.Schedule(lateAnswerWait+simulation.stalled(), func() {
 		for _, attempt := range session.open {
 			if !attempt.done && session.lives() {
 				attempt.done = true
--- a/shallotreel/crashwatch/simulation_test.go
+++ b/shallotreel/crashwatch/simulation_test.go
@@ -50,6 +50,7 @@
 	random     time.Duration // period of crashes without a culprit, 0 for none
 	rivals     int           // further requests that crash their targets
 	queue      time.Duration // longest time that a request waits at a target before it is run, after the first queueFrom
+	stall      time.Duration // longest time for which an instance learns of no end and no timer of an attempt, after the first queueFrom
 }
 
 // simulation runs the machines of several instances in virtual time.
@@ -107,6 +108,14 @@
 	return time.Duration(simulation.random.Int64N(int64(limit)) + 1)
 }
 
+// stalled returns how much later than it should an instance of a busy machine goes on.
+func (simulation *simulation) stalled() time.Duration {
+	if simulation.stall == 0 || simulation.Now.Sub(epoch) <= queueFrom {
+		return 0
+	}
+	return simulation.draw(simulation.stall)
+}
+
 func (simulation *simulation) nextID() uint64 {
 	simulation.lastID++
 	return simulation.lastID
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -81,6 +81,7 @@
 		case <-timer.C:
 			actions = run.machine.Wake(time.Now())
 		case <-ctx.Done():
+			run.machine.Cancel()
 			return &query.Finish{Code: result.Canceled, Reason: "the caller disconnected"}
 		}
 		now := time.Now()
