Marks: an instance that starts gets those with the most crashes first

What callers saw: after an instance was killed and started again, repeats of a request that its peers had quarantined went to targets of all shards from the new one for 6 s.

Cause: the messages with which an instance catches up are pages of all marks, those with the most crashes first. There was one position for all peers, and one limit of five messages a second. While others differ too, as in an overload, the new instance got some later page, or none.

The new instance logs no 'mark learned' for the request from 49.4 to 55.3 s, while its two peers refuse it by the mark; it learned other marks meanwhile.

Change: a position for each peer, which begins anew for one without marks, and room for the first message to each of five peers a second. TestStartedInstanceLearnsWorstMarksFirst fails with one position and limit for all.

--- a/reel/replication/replication.go
+++ b/reel/replication/replication.go
@@ -20,9 +20,10 @@
 	// queuedPerMessage is the maximum number of changed marks in one message.
 	queuedPerMessage = 4
 	// catchUpPeriod is the period in which catchUpMessages is the maximum number of messages with marks to peers whose
-	// digest differs.
+	// digest differs, besides the first one to each of firstMessages peers.
 	catchUpPeriod   = time.Second
 	catchUpMessages = 5
+	firstMessages   = 5
 )
 
 // Message is the part of a datagram between instances that concerns marks.
@@ -36,14 +37,15 @@
 	tracker     *quarantine.Tracker
 	crashed     gossip.Queue[quarantine.Fingerprint] // changed marks with crashes
 	others      gossip.Queue[quarantine.Fingerprint] // other changed marks, which are sent after those
-	next        int                                  // index among the marks at which the next message to catch up begins
+	next        map[string]int                       // index among the marks at which the next message to each peer begins
 	periodStart time.Time                            // of the current catchUpPeriod
 	messages    int                                  // messages to catch up in this period
+	firsts      int                                  // of these, first ones to a peer
 }
 
 // New returns a machine that replicates the marks of the tracker.
 func New(tracker *quarantine.Tracker) *Machine {
-	return &Machine{tracker: tracker}
+	return &Machine{tracker: tracker, next: map[string]int{}}
 }
 
 // Changed queues a mark that changed on this instance for all peers. A queue that is full drops it; the peers then notice
@@ -79,34 +81,46 @@
 	return message
 }
 
-// Receive merges the marks that a peer sent. It returns those that changed, which are queued for other peers, and whether
+// Receive merges the marks that the peer sent. It returns those that changed, which are queued for other peers, and whether
 // to answer the peer with CatchUp because its marks differ from those of this instance.
-func (machine *Machine) Receive(now time.Time, message Message) (changed []quarantine.Mark, differs bool) {
+func (machine *Machine) Receive(now time.Time, peer string, message Message) (changed []quarantine.Mark, differs bool) {
 	for _, mark := range message.Marks {
 		if machine.tracker.Merge(now, mark) {
 			machine.Changed(now, mark.Fingerprint)
 			changed = append(changed, mark)
 		}
 	}
-	return changed, machine.tracker.Digest() != message.Digest
+	differs = machine.tracker.Digest() != message.Digest
+	if !differs || message.Digest == 0 {
+		delete(machine.next, peer) // it has all marks, or none since it has just started
+	}
+	return changed, differs
 }
 
-// CatchUp returns a message with some of the marks for a peer whose marks differ; those with the most crashes come first. It reports false if there are none or the maximum for this period is reached.
-func (machine *Machine) CatchUp(now time.Time) (Message, bool) {
+// CatchUp returns a message with some of the marks for the peer, whose marks differ; the first one has those with the most
+// crashes. It reports false if there are none or the maximum for this period is reached.
+func (machine *Machine) CatchUp(now time.Time, peer string) (Message, bool) {
 	if now.Sub(machine.periodStart) >= catchUpPeriod {
-		machine.periodStart, machine.messages = now, 0
+		machine.periodStart, machine.messages, machine.firsts = now, 0, 0
 	}
 	marks := machine.tracker.Marks(now)
-	if len(marks) == 0 || machine.messages >= catchUpMessages {
+	next, known := machine.next[peer]
+	switch {
+	case len(marks) == 0:
+		return Message{}, false
+	case !known && machine.firsts < firstMessages:
+		machine.firsts++
+	case machine.messages >= catchUpMessages:
 		return Message{}, false
+	default:
+		machine.messages++
 	}
-	machine.messages++
 	slices.SortStableFunc(marks, func(a, b quarantine.Mark) int { return cmp.Compare(b.Crashes(), a.Crashes()) })
-	if machine.next >= len(marks) {
-		machine.next = 0
+	if next >= len(marks) {
+		next = 0
 	}
-	page := pageOf(marks[machine.next:])
-	machine.next += len(page)
+	page := pageOf(marks[next:])
+	machine.next[peer] = next + len(page)
 	return Message{Digest: machine.tracker.Digest(), Marks: page}, true
 }
 
--- a/reel/replication/replication_test.go
+++ b/reel/replication/replication_test.go
@@ -40,13 +40,13 @@
 func TestNewMarkIsPassedOn(t *testing.T) {
 	first, second, third := newNode(), newNode(), newNode()
 	first.lose(7, 2)
-	changed, differs := second.Receive(start, first.Message(start))
+	changed, differs := second.Receive(start, "peer", first.Message(start))
 	if len(changed) != 1 || differs {
 		t.Fatalf("%d marks changed, differs %v, want one and no difference", len(changed), differs)
 	}
-	third.Receive(start, second.Message(start))
+	third.Receive(start, "peer", second.Message(start))
 	assertCrashes(t, third, 7, 2)
-	if changed, _ := third.Receive(start, first.Message(start)); len(changed) != 0 {
+	if changed, _ := third.Receive(start, "peer", first.Message(start)); len(changed) != 0 {
 		t.Error("a mark that arrives twice is taken for a change")
 	}
 }
@@ -75,10 +75,10 @@
 	old.lose(100, 3)
 	now := start
 	for messages := 0; ; messages++ {
-		if _, differs := old.Receive(now, started.Message(now)); !differs {
+		if _, differs := old.Receive(now, "started", started.Message(now)); !differs {
 			break
 		}
-		message, ok := old.CatchUp(now)
+		message, ok := old.CatchUp(now, "started")
 		switch {
 		case !ok && messages%catchUpMessages != 0:
 			t.Fatalf("no message to catch up after %d of a period", messages%catchUpMessages)
@@ -92,14 +92,41 @@
 		case messages > 20:
 			t.Fatal("the instance does not catch up")
 		}
-		started.Receive(now, message)
+		started.Receive(now, "peer", message)
 	}
 	assertCrashes(t, started, 100, 3)
 	assertCrashes(t, started, 39, 1)
 }
 
+// TestStartedInstanceLearnsWorstMarksFirst guards against an instance that starts while others catch up too, and gets some
+// later page of the marks first: until it knows those with the most crashes, it sends such requests to further targets (the
+// incident BUDGET).
+func TestStartedInstanceLearnsWorstMarksFirst(t *testing.T) {
+	old, behind, started := newNode(), newNode(), newNode()
+	for fingerprint := range quarantine.Fingerprint(90) {
+		old.lose(fingerprint+1, 1)
+	}
+	old.lose(100, 3)
+	behind.lose(200, 1)
+	now := start
+	for range 3 {
+		old.Receive(now, "behind", behind.Message(now))
+		if message, ok := old.CatchUp(now, "behind"); ok {
+			behind.Receive(now, "peer", message)
+		}
+	}
+	for range catchUpMessages {
+		old.CatchUp(now, "another one")
+	}
+	old.Receive(now, "started", started.Message(now))
+	message, ok := old.CatchUp(now, "started")
+	if !ok || message.Marks[0].Fingerprint != 100 {
+		t.Errorf("the first message, sent %v, has %v, want the mark with the most crashes first", ok, message.Marks)
+	}
+}
+
 func TestNothingToCatchUp(t *testing.T) {
-	if _, ok := newNode().CatchUp(start); ok {
+	if _, ok := newNode().CatchUp(start, "peer"); ok {
 		t.Error("an instance without marks sends some")
 	}
 }
--- a/shallotreel/crashwatch/simulated_instance_test.go
+++ b/shallotreel/crashwatch/simulated_instance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"io"
 	"slices"
 	"time"
@@ -96,6 +97,11 @@
 
 type instanceProcess = instance
 
+// name returns the name under which the peers know the instance.
+func (instance *instance) name() string {
+	return fmt.Sprint("front-", slices.Index(instance.simulation.instances, instance))
+}
+
 func (instance *instance) push() {
 	if !instance.replication.Pending() {
 		return
@@ -121,12 +127,12 @@
 }
 
 func (instance *instance) receive(from *instanceProcess, message replication.Message) {
-	now := instance.simulation.Now
-	changed, differs := instance.replication.Receive(now, message)
+	now, peer := instance.simulation.Now, from.name()
+	changed, differs := instance.replication.Receive(now, peer, message)
 	if len(changed) > 0 {
 		instance.push()
 	}
-	if marks, ok := instance.replication.CatchUp(now); differs && ok {
+	if marks, ok := instance.replication.CatchUp(now, peer); differs && ok {
 		instance.send(from, marks)
 	}
 }
--- a/shallotreel/roster/roster.go
+++ b/shallotreel/roster/roster.go
@@ -236,7 +236,7 @@
 // receiveMarks merges the marks of a peer, sends those that are new to other peers, and sends marks to the peer if it has
 // others than this instance.
 func (roster *Roster) receiveMarks(now time.Time, message datagram) {
-	changed, differs := roster.marks.Receive(now, message.marks)
+	changed, differs := roster.marks.Receive(now, message.members.From.Name, message.marks)
 	for _, mark := range changed {
 		roster.onMark(mark, message.members.From.Name)
 	}
@@ -246,7 +246,7 @@
 	if !differs {
 		return
 	}
-	if marks, ok := roster.marks.CatchUp(now); ok {
+	if marks, ok := roster.marks.CatchUp(now, message.members.From.Name); ok {
 		roster.sendDatagram(message.members.From.Peer, datagram{roster.machine.GossipMessage(message.members.From), marks})
 	}
 }
