Start: an instance serves once it knows which requests its peers refuse

Cause: an instance was ready as soon as it had a configuration. Its peers' marks come by datagrams, within milliseconds on a calm machine and after seconds on a busy one. Until then it takes each repeat of a crashing request for a new request, and sends it to a target of each shard.

Change: datagrams say whether their sender knows the marks. An instance refuses (503, to come back after .2 s) and is not ready until a peer that knows them has sent the same digest, or the page of all marks that refuse a request. Without such a peer it waits .3 s if it has heard of others that are starting, as after a loss of all, and 1 s if it has heard of none; without seeds not at all.

Evidence: TestKnowsMarksOfPeers, and the handler's test of a request before it is opened; neither could pass before, since nothing told.

--- a/reel/replication/replication.go
+++ b/reel/replication/replication.go
@@ -24,12 +24,18 @@
 	catchUpPeriod   = time.Second
 	catchUpMessages = 5
 	firstMessages   = 5
+	// aloneWait is how long after its start an instance waits for a peer that knows the marks, while it has heard of none.
+	aloneWait = time.Second
+	// startingWait is the same if all peers that it has heard of have just started too, as after a loss of all instances.
+	startingWait = 300 * time.Millisecond
 )
 
 // Message is the part of a datagram between instances that concerns marks.
 type Message struct {
 	Digest uint64            `msgpack:"h,omitempty"` // of all marks of the sender
 	Marks  []quarantine.Mark `msgpack:"m,omitempty"`
+	Knows  bool              `msgpack:"k,omitempty"` // whether the sender knows the marks of its peers
+	Worst  bool              `msgpack:"w,omitempty"` // whether Marks has all marks that refuse a request
 }
 
 // Machine is the state machine that replicates the marks of one instance. It is not safe for concurrent use.
@@ -41,6 +47,9 @@
 	periodStart time.Time                            // of the current catchUpPeriod
 	messages    int                                  // messages to catch up in this period
 	firsts      int                                  // of these, first ones to a peer
+	startedAt   time.Time                            // zero before the first call of CheckStart
+	heard       bool                                 // whether a message of any peer arrived
+	knows       bool                                 // whether this instance knows the marks of its peers
 }
 
 // New returns a machine that replicates the marks of the tracker.
@@ -60,6 +69,18 @@
 	}
 }
 
+// Knows reports whether this instance knows the marks of its peers. Before, it must not serve requests.
+func (machine *Machine) Knows() bool { return machine.knows }
+
+// CheckStart gives up waiting for the marks of a peer when the time for it is over, and at once if there are no peers.
+func (machine *Machine) CheckStart(now time.Time, hasPeers bool) {
+	if machine.startedAt.IsZero() {
+		machine.startedAt = now
+	}
+	waited := now.Sub(machine.startedAt)
+	machine.knows = machine.knows || !hasPeers || waited >= aloneWait || machine.heard && waited >= startingWait
+}
+
 // Pending reports whether marks are queued.
 func (machine *Machine) Pending() bool {
 	return machine.crashed.Len()+machine.others.Len() > 0
@@ -67,7 +88,7 @@
 
 // Message returns the content of the next datagram to any peer.
 func (machine *Machine) Message(now time.Time) Message {
-	message := Message{Digest: machine.tracker.Digest()}
+	message := Message{Digest: machine.tracker.Digest(), Knows: machine.knows}
 	if !machine.Pending() {
 		return message
 	}
@@ -94,6 +115,8 @@
 	if !differs || message.Digest == 0 {
 		delete(machine.next, peer) // it has all marks, or none since it has just started
 	}
+	machine.heard = true
+	machine.knows = machine.knows || message.Knows && (!differs || message.Worst)
 	return changed, differs
 }
 
@@ -121,7 +144,8 @@
 	}
 	page := pageOf(marks[next:])
 	machine.next[peer] = next + len(page)
-	return Message{Digest: machine.tracker.Digest(), Marks: page}, true
+	worst := next == 0 && (len(page) == len(marks) || marks[len(page)].Crashes() < quarantine.MaxLosses)
+	return Message{Digest: machine.tracker.Digest(), Marks: page, Knows: machine.knows, Worst: worst}, true
 }
 
 // pageOf returns the first marks, as many as fit into one message and at least one.
--- a/reel/replication/replication_test.go
+++ b/reel/replication/replication_test.go
@@ -130,3 +130,48 @@
 		t.Error("an instance without marks sends some")
 	}
 }
+
+// TestKnowsMarksOfPeers guards against an instance that has just started and sends a request to targets although its peers
+// refuse it (the incident BUDGET).
+func TestKnowsMarksOfPeers(t *testing.T) {
+	old := newNode()
+	old.CheckStart(start, false)
+	old.lose(100, 3)
+	for fingerprint := range quarantine.Fingerprint(40) {
+		old.lose(fingerprint+1, 1)
+	}
+	catchUp := func(peer *node) Message {
+		message, _ := peer.CatchUp(start, "started")
+		return message
+	}
+	starting := newNode()
+	starting.CheckStart(start, true)
+	for _, test := range []struct {
+		name     string
+		hasPeers bool
+		message  *Message
+		after    time.Duration
+		want     bool
+	}{
+		{"without peers", false, nil, 0, true},
+		{"before a message", true, nil, aloneWait - 1, false},
+		{"without a message for long", true, nil, aloneWait, true},
+		{"after the worst marks", true, new(catchUp(old)), 0, true},
+		{"after other marks", true, new(catchUp(old)), 0, false},
+		{"after a digest of marks that are missing", true, new(old.Message(start)), 0, false},
+		{"after a peer that is starting", true, new(starting.Message(start)), 0, false},
+		{"after peers that are starting, for long", true, new(starting.Message(start)), startingWait, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			started := newNode()
+			started.CheckStart(start, test.hasPeers)
+			if test.message != nil {
+				started.Receive(start, "old", *test.message)
+			}
+			started.CheckStart(start.Add(test.after), test.hasPeers)
+			if started.Knows() != test.want {
+				t.Errorf("knows the marks: %v, want %v", started.Knows(), test.want)
+			}
+		})
+	}
+}
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -70,6 +70,8 @@
 	servers      []*http.Server
 	callerServer *http.Server
 	stopping     atomic.Bool
+	configured   atomic.Bool // whether a configuration is known
+	marksKnown   atomic.Bool // whether the marks of the peers are known
 	ready        atomic.Bool
 	reporter     tallyprom.Reporter
 	scope        tally.Scope
@@ -124,12 +126,13 @@
 	front.crashes = crashwatch.New(tracker, front, front.replicateMark, front.log, front.scope)
 	var err error
 	front.roster, err = roster.Listen(front.ctx, front.system, roster.Config{Self: front.self, Seeds: config.Seeds,
-		Log: front.log, Random: random(), OnChange: front.router.SetMembers, Tracker: tracker, OnMark: front.logMark})
+		Log: front.log, Random: random(), OnChange: front.router.SetMembers, Tracker: tracker, OnMark: front.logMark,
+		OnMarksKnown: front.markMarksKnown})
 	if err != nil {
 		return err
 	}
 	front.feed = feed.New(front.ctx, front.system, feed.Config{Store: platform.NewStore(config.StoreAddress, storeDialTimeout),
-		Peers: front.roster, Incarnation: front.self.Incarnation, Log: front.log, OnReady: front.markReady,
+		Peers: front.roster, Incarnation: front.self.Incarnation, Log: front.log, OnReady: front.markConfigured,
 		OnTargetChange: func(change catalogue.Change) { front.crashes.TargetChanged(time.Now(), change) }})
 	if front.syncServer, err = cataloguesync.Serve(config.PeerAddress, front.feed); err != nil {
 		return err
@@ -211,10 +214,24 @@
 	front.crashes.Learned(time.Now(), mark, peer)
 }
 
-// markReady makes this instance ready and announces it to the peers. The feed calls it
-// once the first configuration is applied.
-func (front *Front) markReady() {
-	front.ready.Store(true)
+// markConfigured is called by the feed once the first configuration is applied.
+func (front *Front) markConfigured() {
+	front.configured.Store(true)
+	front.checkReady()
+}
+
+// markMarksKnown is called by the roster once this instance knows which requests its peers refuse.
+func (front *Front) markMarksKnown() {
+	front.marksKnown.Store(true)
+	front.checkReady()
+}
+
+// checkReady makes this instance ready and announces it to the peers, once it has a configuration and the marks.
+func (front *Front) checkReady() {
+	if !front.configured.Load() || !front.marksKnown.Load() || !front.ready.CompareAndSwap(false, true) {
+		return
+	}
+	front.handler.Open()
 	front.roster.Ready()
 	front.log.WithField("version", front.feed.View().Configuration.Version).Info("ready")
 }
--- a/shallotreel/ingress/handler.go
+++ b/shallotreel/ingress/handler.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// notReadyRetryAfter is the Retry-After of an instance that has no configuration yet because it is starting.
+	// notReadyRetryAfter is the Retry-After of an instance that is starting, and has no configuration or no marks yet.
 	notReadyRetryAfter = 200 * time.Millisecond
 	// defaultMaxBody is the limit of a request body in bytes if the configuration sets none.
 	defaultMaxBody = 1 << 20
@@ -31,6 +31,7 @@
 	crashes            *crashwatch.Watch
 	recorder           Recorder
 	keepAlivesDisabled atomic.Bool
+	isOpen             atomic.Bool
 	running            atomic.Int64
 	requests           atomic.Int64
 }
@@ -81,6 +82,9 @@
 	return &Handler{catalogue: catalogue, router: router, pool: pool, crashes: crashes, recorder: recorder}
 }
 
+// Open lets the handler serve requests. Before, it refuses them as an instance that is starting.
+func (handler *Handler) Open() { handler.isOpen.Store(true) }
+
 // DisableKeepAlives makes the handler close each connection after its next answer, so that callers open their
 // next connection to another instance.
 func (handler *Handler) DisableKeepAlives() { handler.keepAlivesDisabled.Store(true) }
@@ -103,7 +107,7 @@
 	requestHead := platform.ParseRequestHead(request)
 	view := handler.catalogue.View()
 	record := Record{ID: requestHead.ID, CatalogueSerial: view.Serial, CallerTimeout: requestHead.Timeout}
-	if view.Configuration == nil {
+	if view.Configuration == nil || !handler.isOpen.Load() {
 		handler.refuse(writer, start, record, query.Finish{Code: result.NotReady, RetryAfter: notReadyRetryAfter})
 		return
 	}
--- a/shallotreel/ingress/handler_test.go
+++ b/shallotreel/ingress/handler_test.go
@@ -85,6 +85,7 @@
 	log.SetOutput(io.Discard)
 	crashes := crashwatch.New(fixture.tracker, view, func(quarantine.Fingerprint) {}, log, tally.NoopScope)
 	fixture.handler = New(view, router, pool, crashes, fixture.records)
+	fixture.handler.Open()
 }
 
 func (fixture *fixture) request(method, path, body string) *httptest.ResponseRecorder {
@@ -182,6 +183,14 @@
 		fixture.serve(catalogue.New())
 		assertStatus(t, fixture.request(http.MethodGet, "/x/", ""), http.StatusServiceUnavailable)
 	})
+	t.Run("before it is opened the status is 503, and nothing is sent", func(t *testing.T) {
+		fixture := newFixture(t, singleRoute, nil)
+		fixture.handler.isOpen.Store(false)
+		assertStatus(t, fixture.request(http.MethodGet, "/x/", ""), http.StatusServiceUnavailable)
+		if runs := fixture.runs.Load(); runs != 0 {
+			t.Errorf("targets received %d requests, want none", runs)
+		}
+	})
 	t.Run("without a matching route the status is 404", func(t *testing.T) {
 		fixture := newFixture(t, singleRoute, nil)
 		assertStatus(t, fixture.request(http.MethodGet, "/y/", ""), http.StatusNotFound)
--- a/shallotreel/roster/datagram.go
+++ b/shallotreel/roster/datagram.go
@@ -17,7 +17,7 @@
 
 func (datagram datagram) encode() ([]byte, error) {
 	message := datagram.members
-	if datagram.marks.Digest != 0 || len(datagram.marks.Marks) > 0 {
+	if datagram.marks.Digest != 0 || len(datagram.marks.Marks) > 0 || datagram.marks.Knows {
 		attachment, err := msgpack.Marshal(&datagram.marks)
 		if err != nil {
 			return nil, errors.Wrap(err, "encode marks")
--- a/shallotreel/roster/roster.go
+++ b/shallotreel/roster/roster.go
@@ -44,7 +44,8 @@
 	onChange     func([]member.Member)
 	marks        *replication.Machine
 	onMark       func(mark quarantine.Mark, peer string)
-	pushes       int // of marks that are allowed before the next tick
+	onMarksKnown func() // nil once it was called
+	pushes       int    // of marks that are allowed before the next tick
 }
 
 // Messages of the actor.
@@ -66,6 +67,8 @@
 	OnChange func([]member.Member)                   // called with all members after each change; may be nil
 	Tracker  *quarantine.Tracker                     // marks that are replicated between the instances
 	OnMark   func(mark quarantine.Mark, peer string) // called for each mark that a peer sent and that changed one here
+	// OnMarksKnown is called once this instance knows the marks of its peers, or has waited for them in vain; may be nil.
+	OnMarksKnown func()
 }
 
 // Listen returns a roster with an open UDP socket at the peer address of config.Self.
@@ -78,7 +81,7 @@
 	roster := &Roster{ctx: ctx, root: system.Root, conn: conn, log: config.Log, seeds: config.Seeds,
 		name: config.Self.Name, dataCentre: config.Self.DataCentre,
 		machine: member.New(config.Self, config.Random), onChange: config.OnChange,
-		marks: replication.New(config.Tracker), onMark: config.OnMark}
+		marks: replication.New(config.Tracker), onMark: config.OnMark, onMarksKnown: config.OnMarksKnown}
 	roster.publish()
 	return roster, nil
 }
@@ -182,6 +185,7 @@
 	case tick:
 		roster.apply(roster.machine.Tick(now))
 		roster.pingSeeds(now)
+		roster.marks.CheckStart(now, roster.hasSeeds())
 		roster.pushes = min(roster.pushes+1, maxPushes)
 		roster.pushMarks()
 	case ready:
@@ -201,9 +205,19 @@
 	default:
 		return
 	}
+	if roster.onMarksKnown != nil && roster.marks.Knows() {
+		roster.onMarksKnown()
+		roster.onMarksKnown = nil
+	}
 	roster.publish()
 }
 
+// hasSeeds reports whether the seeds name another instance.
+func (roster *Roster) hasSeeds() bool {
+	self := roster.machine.Self().Peer
+	return slices.ContainsFunc(roster.seeds, func(seed netip.AddrPort) bool { return seed != self })
+}
+
 // pingSeeds pings the seeds if the current period has passed since the last time.
 func (roster *Roster) pingSeeds(now time.Time) {
 	period := seedPeriod
