Rate limits of targets: divide them between the instances

TestLimitedTarget, on the code before: status 200 for a second request to a target that takes one in ten seconds.

Cause: Server-Limit was read nowhere.

Change: package quota divides the rate by the list of members alone. As many instances as the rate feeds hold parts, in an order by hash that differs between targets, those of the target's data centre seven tenths; the others take turns, so that each still learns when the limit ends. A part is used in a token bucket that starts empty and saves up a quarter of a second. It counts every attempt that is sent. A target without a request left for this instance is left out of the choice, so hedges and retries pass it over too; a service without any is refused or left out at once, with the time to come back. The limit ends with an answer without it, or with its process; late answers neither lift nor revive it.

--- a/reel/choice/health.go
+++ b/reel/choice/health.go
@@ -9,6 +9,9 @@
 	LatencyFactor float64       // moving average of the target's latency relative to the median of the route
 	FailureRate   float64       // moving average of the target's failures, from 0 to 1
 	LongestWait   time.Duration // age of the target's oldest attempt in flight, for Unresponsive; time without requests, for Quiet
+	Limit         Limit         // of the target, for Limited and LimitEnded
+	Part          float64       // requests a second of the limit that this instance may send, 0 if it takes turns
+	Members       int           // instances that share the limit, for Limited
 	UnservedShare float64       // share of the service's requests that get no target in time; set for services only
 }
 
@@ -20,6 +23,8 @@
 	RespondsAgain     = "responsive again"
 	AddressReused     = "another process has its address"
 	Quiet             = "wants no requests for a time"
+	Limited           = "takes a limited rate of requests"
+	LimitEnded        = "takes any rate of requests"
 	Saturated         = "most requests get no target in time"
 	NoLongerSaturated = "most requests get a target in time"
 	maxHealthChanges  = 256 // changes kept until TakeHealthChanges; further ones are dropped
--- a/reel/choice/quiet.go
+++ b/reel/choice/quiet.go
@@ -25,16 +25,23 @@
 		FailureRate: targetHealth.failureRate, LongestWait: until.Sub(now)})
 }
 
-// QuietFor returns for how long all of the targets want no request from this instance, or 0 if any of them takes one or
-// there are none.
+// QuietFor returns for how long all of the targets take no request from this instance, because they said so or because of
+// their limits. It is 0 if any of them takes one or there are none.
 func (selector *Selector) QuietFor(now time.Time, targets []catalogue.Target) time.Duration {
 	var shortest time.Duration
 	for _, target := range targets {
 		targetHealth, ok := selector.targets[target.ID]
-		if !ok || !targetHealth.isQuiet(now, target) {
+		if !ok {
 			return 0
 		}
-		if left := targetHealth.quietUntil.Sub(now); shortest == 0 || left < shortest {
+		left := selector.limitWait(now, target, targets)
+		if targetHealth.isQuiet(now, target) {
+			left = max(left, targetHealth.quietUntil.Sub(now))
+		}
+		if left == 0 {
+			return 0
+		}
+		if shortest == 0 || left < shortest {
 			shortest = left
 		}
 	}
--- a/reel/choice/selector.go
+++ b/reel/choice/selector.go
@@ -42,6 +42,7 @@
 	Load    *Load         // nil if the answer has none
 	Leaving bool          // whether the target takes no new work from now on
 	Quiet   time.Duration // for which the target wants no further request from this instance
+	Limit   *Limit        // nil if the answer does not tell
 }
 
 // Outcome is the result of an attempt as far as it concerns the health of its target.
@@ -61,6 +62,7 @@
 // not use a Selector from several goroutines at once.
 type Selector struct {
 	fleet     Fleet
+	fleetSet  uint64 // number of calls of SetFleet
 	targets   map[string]*targetHealth
 	latencies map[string]*latencyHistogram
 	random    *rand.Rand
@@ -89,6 +91,8 @@
 	misdirected         catalogue.Target // registration of the target at that time
 	quietUntil          time.Time        // until when the target wants no request from this instance
 	quietBorn           int64            // start of the process that said so
+	limit               *limitState      // nil while the target names no limit
+	limitEnded          attemptOfProcess // the newest attempt whose answer ended a limit
 }
 
 // Attempt is an attempt in flight.
@@ -107,6 +111,7 @@
 // SetFleet sets the instances that share the connections of the targets.
 func (selector *Selector) SetFleet(fleet Fleet) {
 	selector.fleet = fleet
+	selector.fleetSet++
 }
 
 // Fleet returns the instances that share the connections of the targets.
@@ -116,8 +121,9 @@
 
 // Pick is a selected target and the name of its grade, such as "good" or "probe".
 type Pick struct {
-	Target catalogue.Target
-	Grade  string
+	Target  catalogue.Target
+	Grade   string
+	Limited string // ID of a target that was left out because of its limit, empty if none was
 }
 
 // Choose selects a target for an attempt of the route among the candidates that were not tried and for which
@@ -128,10 +134,15 @@
 func (selector *Selector) Choose(now time.Time, route *catalogue.Route, candidates []catalogue.Target, service catalogue.Service, tried []string, hasCapacity func(catalogue.Target) bool) (Pick, bool) {
 	var best catalogue.Target
 	bestScore := score{grade: unusable}
+	limited := ""
 	for _, target := range candidates {
 		if slices.Contains(tried, target.ID) || !hasCapacity(target) {
 			continue
 		}
+		if selector.limitWait(now, target, candidates) > 0 {
+			limited = target.ID
+			continue
+		}
 		limit := selector.ConnectionLimit(target, service, candidates)
 		if len(tried) > 0 {
 			limit += reservedConnections
@@ -150,7 +161,7 @@
 	if bestScore.grade == probe {
 		selector.targetHealth(best.ID).probedAt = now
 	}
-	return Pick{best, bestScore.grade.String()}, true
+	return Pick{best, bestScore.grade.String(), limited}, true
 }
 
 // grade ranks the health of a target; a lower value is better.
@@ -228,6 +239,9 @@
 	targetHealth := selector.targetHealth(targetID)
 	targetHealth.lastUsed = now
 	targetHealth.inFlight = append(targetHealth.inFlight, attempt)
+	if targetHealth.limit != nil {
+		targetHealth.limit.bucket.Take(now)
+	}
 }
 
 // RecordEnd records the outcome of the attempt with the ID and what the target reported with it. An attempt that is not in
@@ -248,6 +262,9 @@
 	if report.Quiet > 0 {
 		selector.noteQuiet(now, target, targetHealth, report.Quiet)
 	}
+	if report.Limit != nil {
+		selector.noteLimit(now, target, targetHealth, attempt.SentAt, *report.Limit)
+	}
 	latencyHistogram := selector.latencyHistogram(attempt.Route)
 	waited := now.Sub(attempt.SentAt)
 	switch outcome {
@@ -328,7 +345,7 @@
 		}
 	}
 	for id, targetHealth := range selector.targets {
-		if len(targetHealth.inFlight) == 0 && !now.Before(targetHealth.quietUntil) && now.Sub(targetHealth.lastUsed) >= idleTTL {
+		if len(targetHealth.inFlight) == 0 && !now.Before(targetHealth.quietUntil) && targetHealth.limit == nil && now.Sub(targetHealth.lastUsed) >= idleTTL {
 			delete(selector.targets, id)
 		}
 	}
--- a/reel/query/end.go
+++ b/reel/query/end.go
@@ -7,10 +7,12 @@
 	"shallotreel.example/reel/result"
 )
 
+// ReasonUnavailable is the reason of a Gap whose targets all want no requests for a time or have used up their limits.
+const ReasonUnavailable = "all targets of the service want no requests for a time, or have named limits that are used up"
+
 // Reasons for sending no attempt to a service.
 const (
 	reasonNoTargets = "no target is registered for the service"
-	reasonQuiet     = "all targets of the service want no requests for a time"
 	reasonSaturated = "most recent requests to the service found no target with free capacity in time"
 )
 
@@ -45,14 +47,14 @@
 	return Finish{}, false
 }
 
-// isQuiet reports whether all targets of the part's service want no requests until after the part may wait. It fails such
+// isQuiet reports whether all targets of the part's service take no requests until after the part may wait. It fails such
 // a part.
 func (machine *Machine) isQuiet(now time.Time, part *part) bool {
 	quiet := machine.router.QuietFor(now, part.service)
 	if quiet == 0 || now.Add(quiet).Before(machine.waitUntil()) {
 		return false
 	}
-	part.skipReason, part.failed = reasonQuiet, true
+	part.skipReason, part.failed = ReasonUnavailable, true
 	machine.quietRetryAfter = max(machine.quietRetryAfter, min(quiet, maxRetryAfter))
 	return true
 }
--- a/reel/query/messages.go
+++ b/reel/query/messages.go
@@ -28,7 +28,7 @@
 	Choose(now time.Time, route *catalogue.Route, service string, tried []string) (choice.Pick, bool)
 	// HasTargets reports whether any target is registered for the service, with or without free capacity.
 	HasTargets(service string) bool
-	// QuietFor returns for how long all targets of the service want no request, or 0 if any takes one.
+	// QuietFor returns for how long all targets of the service take no request, as they asked, or 0 if any takes one.
 	QuietFor(now time.Time, service string) time.Duration
 	// Saturated reports whether most recent requests to the service found no target with free capacity in time, and
 	// for how long this has been so.
--- /dev/null
+++ b/reel/quota/main_test.go
@@ -0,0 +1,9 @@
+package quota
+
+import (
+	"testing"
+
+	"shallotreel.example/reel/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, 200) }
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -201,9 +201,18 @@
 func (front *Front) View() *catalogue.View { return front.feed.View() }
 
 func (front *Front) logHealthChange(change choice.HealthChange) {
-	front.log.WithFields(logrus.Fields{"subject": change.Subject, "belief": change.Kind, "factor": change.LatencyFactor,
+	fields := logrus.Fields{"subject": change.Subject, "belief": change.Kind, "factor": change.LatencyFactor,
 		"failures": change.FailureRate, "silence_ms": change.LongestWait.Milliseconds(), "in_vain": change.UnservedShare,
-		"targets_serial": front.feed.View().Serial}).Info("health changed")
+		"targets_serial": front.feed.View().Serial}
+	switch change.Kind {
+	case choice.Limited:
+		front.scope.Counter("limits_named").Inc(1)
+		fields["limit_per_second"], fields["part_per_second"], fields["members"] = float64(change.Limit), change.Part, change.Members
+	case choice.LimitEnded:
+		front.scope.Counter("limits_ended").Inc(1)
+		fields["limit_per_second"] = float64(change.Limit)
+	}
+	front.log.WithFields(fields).Info("health changed")
 }
 
 func (front *Front) replicateMark(fingerprint quarantine.Fingerprint) {
--- a/shallotreel/front/recorder.go
+++ b/shallotreel/front/recorder.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"shallotreel.example/reel/query"
 	"shallotreel.example/reel/result"
 	"shallotreel.example/shallotreel/ingress"
 )
@@ -25,6 +26,8 @@
 	scope         tally.Scope
 	latency       tally.Histogram
 	dropped       tally.Counter
+	elsewhere     tally.Counter // attempts for which a target was left out because of its limit
+	unavailable   tally.Counter // parts of requests for which no target takes requests now, as these asked
 	mutex         sync.Mutex
 	codes         map[result.Code]tally.Counter
 	normal        int   // complete answers within the latency goal
@@ -35,12 +38,14 @@
 func newRecorder(log logrus.FieldLogger, scope tally.Scope) *recorder {
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.5, 18)
 	return &recorder{log: log, scope: scope, latency: scope.Histogram("request_time", buckets),
-		dropped: scope.Counter("request_lines_dropped"), codes: map[result.Code]tally.Counter{}}
+		dropped:   scope.Counter("request_lines_dropped"),
+		elsewhere: scope.Counter("attempts_past_limit"), unavailable: scope.Counter("parts_unavailable"), codes: map[result.Code]tally.Counter{}}
 }
 
 // Record updates the metrics for a finished request and logs it if it is sampled.
 func (recorder *recorder) Record(record ingress.Record) {
 	recorder.latency.RecordDuration(record.Took)
+	recorder.countWishes(record)
 	if !recorder.count(record) {
 		return
 	}
@@ -62,6 +67,20 @@
 	recorder.log.WithFields(fields).Info("request ended")
 }
 
+// countWishes counts what the wishes of targets changed for the request.
+func (recorder *recorder) countWishes(record ingress.Record) {
+	for _, attempt := range record.Attempts {
+		if attempt.Limited != "" {
+			recorder.elsewhere.Inc(1)
+		}
+	}
+	for _, gap := range record.Gaps {
+		if gap.SkipReason == query.ReasonUnavailable {
+			recorder.unavailable.Inc(1)
+		}
+	}
+}
+
 // count counts the request and reports whether to log it.
 func (recorder *recorder) count(record ingress.Record) bool {
 	recorder.mutex.Lock()
@@ -88,15 +107,15 @@
 }
 
 // loggedAttempts returns the attempts to log for a request. These are all attempts of a
-// failed request; otherwise only hedges, retries, and first attempts that failed, did
-// not end or took longer than the latency goal.
+// failed request; otherwise only hedges, retries, first attempts that failed, did not end
+// or took longer than the latency goal, and those sent past a target with a limit.
 func loggedAttempts(record ingress.Record) []ingress.Attempt {
 	if record.Code != result.OK && record.Code != result.Partial {
 		return record.Attempts
 	}
 	var attempts []ingress.Attempt
 	for _, attempt := range record.Attempts {
-		if attempt.Kind != "first" || attempt.Cause != "" || attempt.Took == 0 || attempt.Took > record.Goal {
+		if attempt.Kind != "first" || attempt.Limited != "" || attempt.Cause != "" || attempt.Took == 0 || attempt.Took > record.Goal {
 			attempts = append(attempts, attempt)
 		}
 	}
--- a/shallotreel/ingress/handler.go
+++ b/shallotreel/ingress/handler.go
@@ -70,6 +70,7 @@
 	Service string        `json:"service"`
 	Kind    string        `json:"why"`               // kind of the attempt, as in query.Send
 	Grade   string        `json:"grade"`             // health of the target when it was chosen
+	Limited string        `json:"limited,omitempty"` // id of a target that was left out because of its limit
 	After   time.Duration `json:"after"`             // from the start of the request to the start of the attempt
 	Took    time.Duration `json:"took"`              // 0 if the attempt had not ended when the request did
 	Status  int           `json:"status"`            // HTTP status, 0 without a complete response
--- a/shallotreel/ingress/report_test.go
+++ b/shallotreel/ingress/report_test.go
@@ -23,6 +23,24 @@
 	}
 }
 
+// TestLimitedTarget checks that a target that names a limit gets no more than that, also by several requests at once, and that
+// callers are told at once to come back later.
+func TestLimitedTarget(t *testing.T) {
+	fixture := newFixture(t, singleRoute, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Server-Limit", "0.1")
+		writer.Header().Set("Server-Stamp", "stamp")
+	})
+	assertStatus(t, fixture.request(http.MethodGet, "/x/a", ""), http.StatusOK)
+	for range 5 {
+		recorder := fixture.request(http.MethodGet, "/x/a", "")
+		assertStatus(t, recorder, http.StatusServiceUnavailable)
+		assertHeader(t, recorder, "Retry-After", "3.000") // the longest one, since another target may start
+	}
+	if runs := fixture.runs.Load(); runs != 1 {
+		t.Errorf("the target received %d requests, want 1", runs)
+	}
+}
+
 // TestLeavingTarget checks which answers tell that their target leaves.
 func TestLeavingTarget(t *testing.T) {
 	for _, test := range []struct {
--- a/shallotreel/ingress/router.go
+++ b/shallotreel/ingress/router.go
@@ -41,7 +41,8 @@
 func NewRouter(catalogue Catalogue, pool *connpool.Pool, limits extra.Limits, home member.Member, random *rand.Rand, onHealthChange func(choice.HealthChange)) *Router {
 	router := &Router{catalogue: catalogue, pool: pool, limits: limits, selector: choice.New(random), onHealthChange: onHealthChange,
 		budgets: map[string]*extra.Budget{}, rotations: map[string]*rotation{}, estimator: softdeadline.New(), home: home}
-	router.selector.SetFleet(choice.Fleet{DataCentre: home.DataCentre, Instances: map[string]int{home.DataCentre: 1}, Total: 1})
+	router.selector.SetFleet(choice.Fleet{Name: home.Name, DataCentre: home.DataCentre, Instances: map[string]int{home.DataCentre: 1}, Total: 1,
+		Members: []choice.FleetMember{{Name: home.Name, DataCentre: home.DataCentre}}})
 	return router
 }
 
@@ -50,18 +51,21 @@
 func (router *Router) SetMembers(members []member.Member) {
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
-	fleet := choice.Fleet{DataCentre: router.home.DataCentre, Instances: map[string]int{}}
+	fleet := choice.Fleet{Name: router.home.Name, DataCentre: router.home.DataCentre, Instances: map[string]int{}}
 	sets := workingset.All(members)
 	for _, member := range members {
-		switch {
-		case !member.State.Reachable():
-		case member.State.Serves() && !workingset.Contains(sets[member.DataCentre], member.Name):
+		if !member.State.Reachable() {
+			continue
+		}
+		idle := member.State.Serves() && !workingset.Contains(sets[member.DataCentre], member.Name)
+		fleet.Members = append(fleet.Members, choice.FleetMember{Name: member.Name, DataCentre: member.DataCentre, Idle: idle})
+		if idle {
 			fleet.Idle = fleet.Idle || member.Name == router.home.Name
 			fleet.Spare++
-		default:
-			fleet.Instances[member.DataCentre]++
-			fleet.Total++
+			continue
 		}
+		fleet.Instances[member.DataCentre]++
+		fleet.Total++
 	}
 	router.idle = fleet.Idle
 	working := workingset.ExpectedSize(members)
@@ -83,7 +87,8 @@
 	return len(router.catalogue.View().Targets(service)) > 0
 }
 
-// QuietFor returns for how long all targets of the service want no request from this instance, or 0 if any takes one.
+// QuietFor returns for how long all targets of the service take no request from this instance, as they asked, or 0 if any
+// takes one.
 func (router *Router) QuietFor(now time.Time, service string) time.Duration {
 	targets := router.catalogue.View().Targets(service)
 	router.mutex.Lock()
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -110,7 +110,7 @@
 	target := send.Pick.Target
 	run.attemptIndexes[send.AttemptID] = len(run.record.Attempts)
 	run.record.Attempts = append(run.record.Attempts, Attempt{Target: target.ID, Service: send.Service,
-		Kind: send.Kind, Grade: send.Pick.Grade, After: now.Sub(run.start)})
+		Kind: send.Kind, Grade: send.Pick.Grade, Limited: send.Pick.Limited, After: now.Sub(run.start)})
 	run.handler.router.recordSent(now, target.ID, choice.Attempt{ID: send.AttemptID, Route: run.plan.Route.Name, SentAt: now})
 	run.handler.crashes.Sent(crash.Attempt{ID: send.AttemptID, Request: run.record.ID, Fingerprint: run.plan.Fingerprint,
 		Target: target, Wave: run.wave + uint64(send.Generation), SentAt: now,
