Responses without end: bounds in every place of a response

What users would see: a target in trouble writes a head without end, and the instance that asked it grows until its machine's memory is used up.

Ruled out by subtests: chunk extensions and trailers, which the library bounds.

Cause: the library reads a head for as long as it goes on; the product bounded only the body.

Change: 64 KB for a head with the interim ones before it; for a part 64 times the records that count, 256 KB at least; a stated length beyond that fails unread. Buffers grow with the bytes that arrive, and all incomplete bodies of the instance count against 32 MB, beyond which those over 64 KB fail and others go on. The connection is closed, the target is judged as failed, a request that may have run says so (502), and a part is retried where it may be.

--- a/shallotreel/connpool/connection.go
+++ b/shallotreel/connpool/connection.go
@@ -2,7 +2,7 @@
 
 import (
 	"bufio"
-	"io"
+	"cmp"
 	"net"
 	"net/http"
 	"net/netip"
@@ -21,7 +21,6 @@
 	maxIdleTime        = 1500 * time.Millisecond // limit of the idle time, since idle connections count against the target's connection limit
 	acceptanceWait     = 5 * time.Millisecond
 	idleTimeoutFactor  = 0.7     // share of the target's idle timeout for which a connection is reused
-	maxResponseBytes   = 8 << 20 // maximum size of a response body
 	maxInlineWrite     = 8 << 10 // bytes that fit in the socket's send buffer, so that the write does not block
 )
 
@@ -30,8 +29,9 @@
 	pool     *Pool
 	address  netip.AddrPort
 	conn     net.Conn
-	reader   *bufio.Reader
-	call     *Call // call in flight, nil while the connection is idle
+	limiter  *headLimiter
+	reader   *bufio.Reader // of limiter
+	call     *Call         // call in flight, nil while the connection is idle
 	closed   bool
 	answered bool        // whether a complete response was received
 	written  atomic.Bool // whether the whole request was written
@@ -39,6 +39,12 @@
 	idleAt   time.Time   // when the connection became idle
 }
 
+func newConnection(pool *Pool, address netip.AddrPort, conn net.Conn) *connection {
+	limiter := &headLimiter{conn: conn}
+	limiter.beginHead()
+	return &connection{pool: pool, address: address, conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}
+}
+
 // confirmAccepted reports whether the target keeps the new connection open for acceptanceWait. A target at its
 // connection limit resets it, and a request sent before the reset could not be distinguished from one that ran.
 func (connection *connection) confirmAccepted() bool {
@@ -121,6 +127,7 @@
 
 // readResponse reads a complete response and skips informational (1xx) ones.
 func (connection *connection) readResponse(call *Call) (*http.Response, []byte, error) {
+	connection.limiter.beginHead()
 	for {
 		response, err := http.ReadResponse(connection.reader, &http.Request{Method: call.Method})
 		if err != nil {
@@ -129,13 +136,12 @@
 		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+		connection.limiter.beginBody()
+		body, err := connection.pool.memory.readBody(response, cmp.Or(call.MaxBody, defaultMaxBody))
 		if err != nil {
 			return nil, nil, errors.Wrap(err, "read response body")
 		}
-		if len(body) > maxResponseBytes {
-			return nil, nil, errors.New("the response body is too large")
-		}
+		connection.limiter.beginHead() // also for bytes that arrive without a request
 		return response, body, nil
 	}
 }
--- /dev/null
+++ b/shallotreel/connpool/endless_test.go
@@ -0,0 +1,124 @@
+package connpool
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// endless writes the beginning of a response and then the same bytes until the connection is closed.
+func endless(beginning, rest string) func(conn net.Conn, reader *bufio.Reader) {
+	return func(conn net.Conn, reader *bufio.Reader) {
+		id := read(reader)
+		if id == "" {
+			return
+		}
+		if _, err := fmt.Fprint(conn, strings.ReplaceAll(beginning, "ID", id)); err != nil {
+			return
+		}
+		block := bytes.Repeat([]byte(rest), 16<<10/len(rest)+1)
+		for {
+			if _, err := conn.Write(block); err != nil {
+				return
+			}
+		}
+	}
+}
+
+var endlessResponses = []struct{ name, beginning, rest string }{
+	{"status line", "", "x"},
+	{"reason", "HTTP/1.1 200 ", "x"},
+	{"header line", "HTTP/1.1 200 OK\r\nId: ID\r\nX: ", "x"},
+	{"header", "HTTP/1.1 200 OK\r\nId: ID\r\n", "X: y\r\n"},
+	{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+	{"body until the end of the connection", "HTTP/1.1 200 OK\r\nId: ID\r\n\r\n", "x"},
+	{"chunks", "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+	{"small chunks", "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+	{"chunk extension", "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x"},
+	{"trailer", "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+	{"absurd length", "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 9000000000000000000\r\n\r\n", "x"},
+}
+
+// TestResponsesWithoutEnd guards against a target that writes without end in any place of a response: it must neither fill the
+// memory nor keep the connection.
+func TestResponsesWithoutEnd(t *testing.T) {
+	for _, response := range endlessResponses {
+		t.Run(response.name, func(t *testing.T) {
+			pool := NewPool()
+			address := serve(t, endless(response.beginning, response.rest))
+			call, results := newCall(address, "one")
+			call.MaxBody = 100 << 10
+			pool.Start(call)
+			assertSentError(t, await(t, results))
+			if peak := pool.memory.peak.Load(); peak > 2*(call.MaxBody+1) {
+				t.Errorf("%d bytes were held for a body of at most %d", peak, call.MaxBody)
+			}
+			if held := pool.memory.held.Load(); held != 0 {
+				t.Errorf("%d bytes are still counted", held)
+			}
+			assertClosed(t, pool)
+		})
+	}
+}
+
+// assertClosed checks that all connections are closed.
+func assertClosed(t *testing.T, pool *Pool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitLimit); ; time.Sleep(time.Millisecond) {
+		open, _ := pool.Counts()
+		switch {
+		case open == 0:
+			return
+		case time.Now().After(deadline):
+			t.Fatalf("%d connections are still open", open)
+		}
+	}
+}
+
+// TestBytesWithoutEndAfterResponse checks that a whole response counts, and that what follows it closes the connection.
+func TestBytesWithoutEndAfterResponse(t *testing.T) {
+	pool := NewPool()
+	address := serve(t, endless("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok", "x"))
+	assertBody(t, roundTrip(t, pool, address, "one"), "ok")
+	assertClosed(t, pool)
+}
+
+// TestManyBodiesWithoutEnd guards against the memory that many long bodies take together, each of which is allowed, while
+// responses of ordinary size are read as ever.
+func TestManyBodiesWithoutEnd(t *testing.T) {
+	pool := NewPool()
+	faulty := serve(t, endless("HTTP/1.1 200 OK\r\nId: ID\r\n\r\n", "x"))
+	sound := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		for id := read(reader); id != ""; id = read(reader) {
+			reply(conn, id, strings.Repeat("y", freeBodyBytes/2))
+		}
+	})
+	var group sync.WaitGroup
+	for range 64 {
+		long, longResults := newCall(faulty, "long")
+		pool.Start(long)
+		group.Go(func() {
+			if result := await(t, longResults); !errors.Is(result.Err, errTooLong) {
+				t.Errorf("the long response ends with %v, want %v", result.Err, errTooLong)
+			}
+		})
+		short, shortResults := newCall(sound, "short")
+		pool.Start(short)
+		group.Go(func() {
+			if result := await(t, shortResults); result.Err != nil {
+				t.Errorf("an ordinary response fails: %v", result.Err)
+			}
+		})
+	}
+	group.Wait()
+	if peak := pool.memory.peak.Load(); peak > maxPendingBytes+128*freeBodyBytes {
+		t.Errorf("%d bytes were held, want %d and %d for each response", peak, maxPendingBytes, freeBodyBytes)
+	}
+}
--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -1,7 +1,6 @@
 package connpool
 
 import (
-	"bufio"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -31,6 +30,7 @@
 	Address         netip.AddrPort         // of the target
 	Method          string                 // HTTP method of the request
 	Request         []byte                 // serialized request
+	MaxBody         int64                  // bytes of the response body, 0 for the default
 	RequireFresh    bool                   // whether to avoid connections idle for over a second, which may fail; set for requests that must not be repeated
 	MatchesResponse func(http.Header) bool // reports whether the response with the header answers this request
 	Done            func(Result)           // receives the result; called exactly once
@@ -76,8 +76,9 @@
 	idle     map[netip.AddrPort][]*connection // idle connections by target, the most recently used last
 	probes   map[netip.AddrPort]time.Time     // last probe by address
 	backoffs map[netip.AddrPort]*dialBackoff  // targets that reset a connection and have not answered on a new one since
-	open     int                              // open connections
-	dials    uint64                           // connections ever opened
+	memory   memory
+	open     int    // open connections
+	dials    uint64 // connections ever opened
 	dialer   net.Dialer
 	// acceptanceWait is the time within which a target at its connection limit, or whose process ends, resets a connection.
 	acceptanceWait time.Duration
@@ -191,7 +192,7 @@
 		call.finish(Result{Listens: listensAfter(err), Err: errors.Wrap(err, "connect")})
 		return
 	}
-	connection := &connection{pool: pool, address: call.Address, conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize)}
+	connection := newConnection(pool, call.Address, conn)
 	if pool.recentlyReset(call.Address) && !connection.confirmAccepted() {
 		conn.Close()
 		pool.recordReset(call.Address)
@@ -225,7 +226,7 @@
 		if err != nil {
 			return listensAfter(err)
 		}
-		connection := &connection{pool: pool, address: address, conn: conn, reader: bufio.NewReader(conn)}
+		connection := newConnection(pool, address, conn)
 		kept := connection.confirmAccepted()
 		conn.Close()
 		if kept {
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -250,6 +250,7 @@
 	open, dials := front.pool.Counts()
 	front.scope.Gauge("target_connections").Update(float64(open))
 	front.scope.Gauge("target_dials").Update(float64(dials))
+	front.scope.Gauge("response_bytes_pending").Update(float64(front.pool.PendingBytes()))
 	front.scope.Gauge("store_calls").Update(float64(front.feed.StoreCalls()))
 	front.scope.Gauge("members").Update(float64(len(front.roster.Members())))
 	front.scope.Gauge("running").Update(float64(front.handler.Running()))
--- a/shallotreel/ingress/report_test.go
+++ b/shallotreel/ingress/report_test.go
@@ -1,8 +1,12 @@
 package ingress
 
 import (
+	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
+
+	"shallotreel.example/reel/catalogue"
 )
 
 // TestQuietTarget checks that a target that turns a request away and asks for quiet gets no further request, and that
@@ -66,3 +70,45 @@
 		})
 	}
 }
+
+// TestTargetsWithoutEnd guards against a target whose body never ends: its caller gets a failure that does not say that the
+// request has not run, or the other parts, long before the deadline.
+func TestTargetsWithoutEnd(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		route  catalogue.Route
+		share  float64
+		want   int
+		runs   int64
+		header string // of the number of missing parts
+	}{
+		{"a request that may be repeated", singleRoute, 0, http.StatusBadGateway, 2, ""},
+		{"one that may not", writeRoute, 0, http.StatusBadGateway, 1, ""},
+		{"all parts needed", shardRoute, 1, http.StatusBadGateway, 3, ""},
+		{"a part may be missing", shardRoute, 0.5, http.StatusOK, 3, "1"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			test.route.LeastShare = test.share
+			var sound atomic.Bool // whether a shard has answered as it should
+			fixture := newFixture(t, test.route, func(writer http.ResponseWriter, request *http.Request) {
+				writer.Header().Set("Server-Stamp", "stamp")
+				if len(test.route.Shards) > 0 && sound.CompareAndSwap(false, true) {
+					fmt.Fprint(writer, "0123456789abcdef")
+					return
+				}
+				block := make([]byte, 16<<10)
+				for {
+					if _, err := writer.Write(block); err != nil {
+						return
+					}
+				}
+			})
+			recorder := fixture.request(http.MethodGet, "/x/a", "")
+			assertStatus(t, recorder, test.want)
+			assertHeader(t, recorder, "Missing-Parts", test.header)
+			if runs := fixture.runs.Load(); runs > test.runs {
+				t.Errorf("the targets received %d requests, want %d at most", runs, test.runs)
+			}
+		})
+	}
+}
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shallotreel.example/platform"
+	"shallotreel.example/reel/catalogue"
 	"shallotreel.example/reel/choice"
 	"shallotreel.example/reel/crash"
 	"shallotreel.example/reel/query"
@@ -22,6 +23,11 @@
 	lateAnswerWait = 300 * time.Millisecond
 	// answerBufferPerService is the number of ended attempts for each service that the answers channel buffers.
 	answerBufferPerService = 8
+	// minMaxPart is the least limit of a part's body in bytes.
+	minMaxPart = 256 << 10
+	// maxPartFactor is that limit as a multiple of the records that count, of which maxPartRecords are considered.
+	maxPartFactor  = 64
+	maxPartRecords = 8 << 10
 )
 
 // run is one request in progress. Only the goroutine that serves the caller uses it, except for handleResult.
@@ -115,13 +121,23 @@
 	run.handler.crashes.Sent(crash.Attempt{ID: send.AttemptID, Request: run.record.ID, Fingerprint: run.plan.Fingerprint,
 		Target: target, Wave: run.wave + uint64(send.Generation), SentAt: now,
 		Suspicion: run.handler.router.suspicionTimeout(run.plan.Route)})
-	call := &connpool.Call{Address: target.Address, Method: run.outbound.Method, RequireFresh: !run.plan.Route.Idempotent,
+	call := &connpool.Call{Address: target.Address, Method: run.outbound.Method, MaxBody: maxBody(run.plan.Route), RequireFresh: !run.plan.Route.Idempotent,
 		Request: run.outbound.EncodeAttempt(target.ID, send.Deadline.Sub(now)), MatchesResponse: run.outbound.EchoedIn}
 	call.Done = func(ended connpool.Result) { run.handleResult(send, ended) }
 	run.calls[send.AttemptID] = call
 	run.handler.pool.Start(call)
 }
 
+// maxBody returns the limit of a response body in bytes, or 0 for the default. The records of a part are merged, so parts are
+// far smaller than other responses may be.
+func maxBody(route *catalogue.Route) int64 {
+	if len(route.Shards) == 0 {
+		return 0
+	}
+	records := min(int64(route.Top), maxPartRecords)
+	return max(minMaxPart, maxPartFactor*records*query.RecordSize)
+}
+
 // handleResult records the end of a call for its target and passes it to the request. It may run on any
 // goroutine, usually that of the connection.
 func (run *run) handleResult(send query.Send, ended connpool.Result) {
