--- a/reel/choice/limit.go
+++ b/reel/choice/limit.go
@@ -47,7 +47,7 @@
 
 // noteLimit records the limit in the answer to an attempt. An answer to an attempt that was sent before the one that last
 // told is out of date if it would lift the limit or bring back one that has ended.
-func (selector *Selector) noteLimit(now time.Time, target catalogue.Target, targetHealth *targetHealth, sentAt time.Time, limit Limit) {
+func (selector *Selector) noteLimit(target catalogue.Target, targetHealth *targetHealth, sentAt time.Time, limit Limit) {
 	attempt := attemptOfProcess{target.Born, sentAt}
 	known := targetHealth.limit
 	switch {
--- a/reel/choice/selector.go
+++ b/reel/choice/selector.go
@@ -263,7 +263,7 @@
 		selector.noteQuiet(now, target, targetHealth, report.Quiet)
 	}
 	if report.Limit != nil {
-		selector.noteLimit(now, target, targetHealth, attempt.SentAt, *report.Limit)
+		selector.noteLimit(target, targetHealth, attempt.SentAt, *report.Limit)
 	}
 	latencyHistogram := selector.latencyHistogram(attempt.Route)
 	waited := now.Sub(attempt.SentAt)
--- a/shallotreel/ingress/report_test.go
+++ b/shallotreel/ingress/report_test.go
@@ -90,7 +90,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			test.route.LeastShare = test.share
 			var sound atomic.Bool // whether a shard has answered as it should
-			fixture := newFixture(t, test.route, func(writer http.ResponseWriter, request *http.Request) {
+			fixture := newFixture(t, test.route, func(writer http.ResponseWriter, _ *http.Request) {
 				writer.Header().Set("Server-Stamp", "stamp")
 				if len(test.route.Shards) > 0 && sound.CompareAndSwap(false, true) {
 					fmt.Fprint(writer, "0123456789abcdef")
