Limits: one request at once when a limit is first named; trace shows them

reelctl trace prints a target that was left out, and the limits of a service without an answer; a golden file of real lines.

--- a/reel/choice/health.go
+++ b/reel/choice/health.go
@@ -5,6 +5,7 @@
 // HealthChange is a change in the estimated health of a target or a service, with the statistics behind it.
 type HealthChange struct {
 	Subject       string        // ID of the target or name of the service that changed
+	Service       string        // of the target, for what it asked for
 	Kind          string        // one of the constants below, such as Healthy
 	LatencyFactor float64       // moving average of the target's latency relative to the median of the route
 	FailureRate   float64       // moving average of the target's failures, from 0 to 1
--- a/reel/choice/limit.go
+++ b/reel/choice/limit.go
@@ -11,6 +11,9 @@
 const (
 	// partTTL is the age above which this instance's part of a limit is computed again, since the candidates change too.
 	partTTL = time.Second
+	// renewalWait is the time after the end of a limit within which a new one allows no request at once, since the target may
+	// name one in some of its answers only.
+	renewalWait = 4 * time.Second
 	// reportedLimitChange is the least relative change of a limit that is reported.
 	reportedLimitChange = 0.2
 )
@@ -26,7 +29,7 @@
 	limit    Limit
 	reported Limit // the value of the last reported change, -1 before
 	named    attemptOfProcess
-	bucket   quota.Bucket
+	bucket   *quota.Bucket
 	partAt   time.Time // when the part was computed
 	partSet  uint64    // number of calls of SetFleet at that time
 }
@@ -56,13 +59,16 @@
 			return
 		}
 		targetHealth.limit, targetHealth.limitEnded = nil, attempt
-		selector.addHealthChange(HealthChange{Subject: target.ID, Kind: LimitEnded, Limit: known.limit, LatencyFactor: targetHealth.latencyFactor,
+		selector.addHealthChange(HealthChange{Subject: target.ID, Service: target.Service, Kind: LimitEnded, Limit: known.limit, LatencyFactor: targetHealth.latencyFactor,
 			FailureRate: targetHealth.failureRate})
 		return
 	case attempt.before(targetHealth.limitEnded), known != nil && attempt.born < known.named.born:
 		return
 	case known == nil || attempt.born != known.named.born:
-		known = &limitState{reported: -1}
+		known = &limitState{reported: -1, bucket: quota.NewBucket(1)}
+		if attempt.born == targetHealth.limitEnded.born && attempt.sentAt.Sub(targetHealth.limitEnded.sentAt) < renewalWait {
+			known.bucket = quota.NewBucket(0)
+		}
 		targetHealth.limit = known
 	}
 	if known.limit != limit {
@@ -91,7 +97,7 @@
 	}
 	if math.Abs(float64(limit.limit-limit.reported)) > reportedLimitChange*max(float64(limit.reported), 0) {
 		limit.reported = limit.limit
-		selector.addHealthChange(HealthChange{Subject: target.ID, Kind: Limited, Limit: limit.limit, Part: limit.bucket.Part().Rate, Members: len(selector.fleet.Members),
+		selector.addHealthChange(HealthChange{Subject: target.ID, Service: target.Service, Kind: Limited, Limit: limit.limit, Part: limit.bucket.Part().Rate, Members: len(selector.fleet.Members),
 			LatencyFactor: targetHealth.latencyFactor, FailureRate: targetHealth.failureRate})
 	}
 	return limit.bucket.Wait(now)
--- a/reel/choice/quiet.go
+++ b/reel/choice/quiet.go
@@ -21,7 +21,7 @@
 		return
 	}
 	targetHealth.quietUntil, targetHealth.quietBorn = until, target.Born
-	selector.addHealthChange(HealthChange{Subject: target.ID, Kind: Quiet, LatencyFactor: targetHealth.latencyFactor,
+	selector.addHealthChange(HealthChange{Subject: target.ID, Service: target.Service, Kind: Quiet, LatencyFactor: targetHealth.latencyFactor,
 		FailureRate: targetHealth.failureRate, LongestWait: until.Sub(now)})
 }
 
--- a/reel/quota/bucket.go
+++ b/reel/quota/bucket.go
@@ -9,7 +9,7 @@
 	handoverTime = time.Second
 )
 
-// Bucket is a token bucket for the part of one instance. The zero value has no part and no tokens.
+// Bucket is a token bucket for the part of one instance.
 type Bucket struct {
 	part     Part
 	tokens   float64
@@ -17,13 +17,19 @@
 	used     int64 // the newest turn in which a request was sent
 }
 
+// NewBucket returns a bucket without a part, which holds the given number of requests once it has one.
+func NewBucket(requests float64) *Bucket { return &Bucket{tokens: requests} }
+
 // Part returns the part of the bucket.
 func (bucket *Bucket) Part() Part { return bucket.part }
 
 // SetPart changes the part. The tokens are kept as far as the new part can save them up.
 func (bucket *Bucket) SetPart(now time.Time, part Part) {
+	if bucket.part.Turn == 0 {
+		bucket.part, bucket.filledAt = part, now
+	}
 	bucket.fill(now)
-	if bucket.part.Turn > 0 && bucket.part.Rate == 0 && part.Rate > 0 {
+	if bucket.part.Rate == 0 && part.Rate > 0 {
 		bucket.tokens = -part.Rate * handoverTime.Seconds()
 	}
 	bucket.part = part
--- a/reelctl/trace/print.go
+++ b/reelctl/trace/print.go
@@ -19,6 +19,9 @@
 		for _, attempt := range completion.Attempts {
 			fmt.Fprintf(table, "  +%s\t%s\t%s\t%s\tgrade %s\t%s\n", formatDuration(attempt.After), attempt.Why, attempt.Service,
 				attempt.Target, attempt.Grade, attempt.outcome())
+			if attempt.Limited != "" {
+				fmt.Fprintf(table, "  \tleft out\t%s\t%s\tby its rate limit\t\n", attempt.Service, attempt.Limited)
+			}
 		}
 		for _, gap := range completion.Gaps {
 			fmt.Fprintf(table, "  \tmissing\t%s\t\t%s\n", gap.Service, gap.Reason)
--- a/reelctl/trace/trace.go
+++ b/reelctl/trace/trace.go
@@ -29,6 +29,7 @@
 	Service string        `json:"service"`
 	Why     string        `json:"why"`
 	Grade   string        `json:"grade"`
+	Limited string        `json:"limited"` // target that was left out because of its rate limit
 	After   time.Duration `json:"after"` // from the start of the request to the attempt
 	Took    time.Duration `json:"took"`
 	Status  int           `json:"status"`
@@ -51,6 +52,7 @@
 	TookMs      int64     `json:"took_ms"`
 	Target      string    `json:"target"`
 	Subject     string    `json:"subject"`
+	Service     string    `json:"service"`
 	Peer        string    `json:"peer"`
 	Evidence    string    `json:"evidence"`
 	Crashes     int       `json:"crashes"` // under requests with the fingerprint
@@ -135,14 +137,14 @@
 }
 
 // relatesTo reports whether the line may explain the result that the completion line records: the same instance wrote
-// the line during the request or shortly before, and the line concerns a target or service that was tried, or no
-// target.
+// the line during the request or shortly before, and the line concerns a target or service that was tried, a target that
+// was left out, a service that did not answer, or no target.
 func (line *Line) relatesTo(completion *Line) bool {
 	if line.Instance != completion.Instance || line.Time.After(completion.Time) || line.Time.Before(completion.StartTime().Add(-contextWindow)) {
 		return false
 	}
 	subject := cmp.Or(line.Target, line.Subject)
 	return subject == "" || slices.ContainsFunc(completion.Attempts, func(attempt Attempt) bool {
-		return attempt.Target == subject || attempt.Service == subject
-	})
+		return attempt.Target == subject || attempt.Service == subject || attempt.Limited == subject
+	}) || line.Service != "" && slices.ContainsFunc(completion.Gaps, func(gap Gap) bool { return gap.Service == line.Service })
 }
--- a/reelctl/trace/trace_test.go
+++ b/reelctl/trace/trace_test.go
@@ -62,6 +62,9 @@
 		repeats := readLogs(t, "repeats-0.jsonl", "repeats-1.jsonl", "repeats-2.jsonl")
 		assertGolden(t, repeats, "crash-3", "repeats.txt")
 	})
+	t.Run("golden file of a request that passes over a target with a rate limit", func(t *testing.T) {
+		assertGolden(t, readLogs(t, "limited.jsonl"), "0333d64b6ad4fc8a", "limited.txt")
+	})
 	t.Run("unknown request", func(t *testing.T) {
 		if _, err := Find(lines, "none"); !errors.Is(err, ErrNotFound) {
 			t.Errorf("got error %v, want ErrNotFound", err)
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -204,6 +204,9 @@
 	fields := logrus.Fields{"subject": change.Subject, "belief": change.Kind, "factor": change.LatencyFactor,
 		"failures": change.FailureRate, "silence_ms": change.LongestWait.Milliseconds(), "in_vain": change.UnservedShare,
 		"targets_serial": front.feed.View().Serial}
+	if change.Service != "" {
+		fields["service"] = change.Service
+	}
 	switch change.Kind {
 	case choice.Limited:
 		front.scope.Counter("limits_named").Inc(1)
