Gathered requests: nothing is sent while too few shards take requests

Change: a gathered request waits, for a quarter of its time at most, until targets of as many shards take requests, as these asked, as the answer needs, and is otherwise refused unsent (503), where it failed with 502 before.

--- a/reel/query/end.go
+++ b/reel/query/end.go
@@ -71,7 +71,7 @@
 	if machine.finished {
 		return nil
 	}
-	if machine.queued {
+	if machine.unsentReason != "" {
 		return nil
 	}
 	if finish, ended := machine.checkTrial(now); ended {
--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -50,7 +50,7 @@
 	trial           bool          // whether the request may have crashed a target before and has only one attempt until it is proven
 	suspect         bool          // whether the request began as a trial
 	trialUntil      time.Time     // when a trial without an answer ends
-	queued          bool          // whether the request waits for the trial of another one with the same content
+	unsentReason    string        // why no attempt was sent yet, empty once one may be
 	quietRetryAfter time.Duration // until a service takes requests again whose targets want none now
 }
 
@@ -100,10 +100,16 @@
 	return append(machine.startParts(now), machine.checkFinished(now)...)
 }
 
-// startParts sends the first attempts, of which a trial has one, unless the request waits for another trial.
+// startParts sends the first attempts, of which a trial has one, unless the request has to wait for another trial or for
+// targets of enough services.
 func (machine *Machine) startParts(now time.Time) []Action {
-	machine.beginTrial(now)
-	if machine.queued {
+	machine.unsentReason = ""
+	if !machine.hasWillingTargets(now) {
+		machine.unsentReason = reasonUnwilling
+		return nil
+	}
+	if !machine.beginTrial(now) {
+		machine.unsentReason = reasonQueued
 		return nil
 	}
 	var actions []Action
@@ -121,8 +127,8 @@
 		return nil
 	}
 	var actions []Action
-	if machine.queued {
-		if finish, ended := machine.checkQueued(now); ended {
+	if machine.unsentReason != "" {
+		if finish, ended := machine.checkUnsent(now); ended {
 			return machine.finish(finish)
 		}
 		actions = machine.startParts(now)
@@ -136,7 +142,7 @@
 // NextWake returns the time by which the host must call Wake.
 func (machine *Machine) NextWake(now time.Time) time.Time {
 	next := machine.answerBy()
-	if machine.queued {
+	if machine.unsentReason != "" {
 		next = earliest(next, now.Add(capacityPollInterval))
 	}
 	if machine.trial && machine.plan.Route.Idempotent {
--- a/reel/query/trial.go
+++ b/reel/query/trial.go
@@ -16,13 +16,12 @@
 	reasonTrial       = "the request may have crashed a target, and its single attempt got no answer"
 )
 
-// beginTrial holds back all parts but one if the request is suspected to crash targets, or queues it while another one with
-// the same content is being tried: a target may crash under each.
-func (machine *Machine) beginTrial(now time.Time) {
+// beginTrial holds back all parts but one if the request is suspected to crash targets. It reports false while another one
+// with the same content is being tried: a target may crash under each.
+func (machine *Machine) beginTrial(now time.Time) bool {
 	verdict, _ := machine.router.Verdict(now, machine.plan.Fingerprint)
-	machine.queued = false
 	if verdict != quarantine.Suspect {
-		return
+		return true
 	}
 	machine.suspect = true
 	until := now.Add(trialFactor * machine.router.LatencyQuantile(machine.plan.Route, hedgeQuantile))
@@ -30,8 +29,7 @@
 		until = machine.plan.SoftDeadline
 	}
 	if !machine.router.BeginTrial(now, machine.plan.Fingerprint) {
-		machine.queued = true
-		return
+		return false
 	}
 	machine.trial, machine.trialUntil = true, until
 	parts := len(machine.parts)
@@ -43,6 +41,7 @@
 			first = false
 		}
 	}
+	return true
 }
 
 // Suspect reports whether the request began as a trial, since it may have crashed a target before.
@@ -70,19 +69,6 @@
 	machine.endTrial()
 }
 
-// checkQueued reports whether the request must end because it has waited for the trial of another one for too long, or
-// because that one has shown that it crashes targets.
-func (machine *Machine) checkQueued(now time.Time) (Finish, bool) {
-	switch {
-	case machine.isQuarantined(now):
-		_, left := machine.router.Verdict(now, machine.plan.Fingerprint)
-		return Finish{Code: result.Quarantined, RetryAfter: left, Reason: reasonQuarantined}, true
-	case !now.Before(machine.waitUntil()):
-		return machine.failureFinish(reasonQueued), true
-	}
-	return Finish{}, false
-}
-
 // isQuarantined reports whether the request must not be sent to further targets.
 func (machine *Machine) isQuarantined(now time.Time) bool {
 	verdict, _ := machine.router.Verdict(now, machine.plan.Fingerprint)
