Unsigned results: the target that sends them counts as failing

Found by asking of each header what happens if a target lies. A 2xx without a signature is no success for the caller and is retried, but the target was judged as serving well, and was chosen again before sound ones. TestUnsignedResults: grade 'good' for the next attempt before, 'failing' now.

--- a/reel/query/messages.go
+++ b/reel/query/messages.go
@@ -83,6 +83,11 @@
 	return answer.Status >= 200 && answer.Status < 300 && answer.Signature != ""
 }
 
+// IsUnsigned reports whether the target answered with a result that does not count, since it has no signature.
+func (answer *Answer) IsUnsigned() bool {
+	return answer.Status >= 200 && answer.Status < 300 && answer.Signature == ""
+}
+
 // PermanentFailure reports whether the target answered with an error that any other target would also return, so
 // that a retry is useless.
 func (answer *Answer) PermanentFailure() bool {
--- a/shallotreel/ingress/report_test.go
+++ b/shallotreel/ingress/report_test.go
@@ -114,3 +114,14 @@
 		})
 	}
 }
+
+// TestUnsignedResults guards against a target whose results nobody can use and that is asked as often as sound ones.
+func TestUnsignedResults(t *testing.T) {
+	fixture := newFixture(t, singleRoute, func(writer http.ResponseWriter, _ *http.Request) { fmt.Fprint(writer, "a result") })
+	assertStatus(t, fixture.request(http.MethodGet, "/x/a", ""), http.StatusBadGateway)
+	fixture.request(http.MethodGet, "/x/a", "")
+	attempts := fixture.records.last.Load().Attempts
+	if len(attempts) == 0 || attempts[0].Grade != "failing" {
+		t.Errorf("the attempts after an unsigned result are %+v, want a target that is known to fail", attempts)
+	}
+}
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -177,7 +177,7 @@
 		return answer, report, choice.Misdirected
 	case answer.Execution == query.NotRun:
 		return answer, report, choice.Refused
-	case answer.Status == 0 || answer.Status >= http.StatusInternalServerError:
+	case answer.Status == 0 || answer.Status >= http.StatusInternalServerError || answer.IsUnsigned():
 		return answer, report, choice.Failed
 	default:
 		return answer, report, choice.Answered
