Limits: bounded reports, and no memory of targets that are gone

A target that names its limit in some answers only made two log lines for each answer: one report a second now.

--- a/reel/choice/limit.go
+++ b/reel/choice/limit.go
@@ -14,8 +14,12 @@
 	// renewalWait is the time after the end of a limit within which a new one allows no request at once, since the target may
 	// name one in some of its answers only.
 	renewalWait = 4 * time.Second
+	// limitTTL is the time without a request to the target after which its limit is forgotten.
+	limitTTL = time.Hour
 	// reportedLimitChange is the least relative change of a limit that is reported.
 	reportedLimitChange = 0.2
+	// limitReportInterval is the least time between two reports on a target, which may name a limit in some answers only.
+	limitReportInterval = time.Second
 )
 
 // Limit is a rate in requests a second that a target takes from all instances together.
@@ -50,7 +54,7 @@
 
 // noteLimit records the limit in the answer to an attempt. An answer to an attempt that was sent before the one that last
 // told is out of date if it would lift the limit or bring back one that has ended.
-func (selector *Selector) noteLimit(target catalogue.Target, targetHealth *targetHealth, sentAt time.Time, limit Limit) {
+func (selector *Selector) noteLimit(now time.Time, target catalogue.Target, targetHealth *targetHealth, sentAt time.Time, limit Limit) {
 	attempt := attemptOfProcess{target.Born, sentAt}
 	known := targetHealth.limit
 	switch {
@@ -59,8 +63,7 @@
 			return
 		}
 		targetHealth.limit, targetHealth.limitEnded = nil, attempt
-		selector.addHealthChange(HealthChange{Subject: target.ID, Service: target.Service, Kind: LimitEnded, Limit: known.limit, LatencyFactor: targetHealth.latencyFactor,
-			FailureRate: targetHealth.failureRate})
+		selector.reportLimit(now, target, targetHealth, HealthChange{Kind: LimitEnded, Limit: known.limit})
 		return
 	case attempt.before(targetHealth.limitEnded), known != nil && attempt.born < known.named.born:
 		return
@@ -95,14 +98,26 @@
 		limit.bucket.SetPart(now, selector.partOf(now, target, candidates, limit.limit))
 		limit.partAt, limit.partSet = now, selector.fleetSet
 	}
-	if math.Abs(float64(limit.limit-limit.reported)) > reportedLimitChange*max(float64(limit.reported), 0) {
+	change := math.Abs(float64(limit.limit - limit.reported))
+	if change > reportedLimitChange*max(float64(limit.reported), 0) && selector.reportLimit(now, target, targetHealth,
+		HealthChange{Kind: Limited, Limit: limit.limit, Part: limit.bucket.Part().Rate, Members: len(selector.fleet.Members)}) {
 		limit.reported = limit.limit
-		selector.addHealthChange(HealthChange{Subject: target.ID, Service: target.Service, Kind: Limited, Limit: limit.limit, Part: limit.bucket.Part().Rate, Members: len(selector.fleet.Members),
-			LatencyFactor: targetHealth.latencyFactor, FailureRate: targetHealth.failureRate})
 	}
 	return limit.bucket.Wait(now)
 }
 
+// reportLimit reports a change of the target's limit, unless another one was reported within limitReportInterval.
+func (selector *Selector) reportLimit(now time.Time, target catalogue.Target, targetHealth *targetHealth, change HealthChange) bool {
+	if now.Sub(targetHealth.limitReportedAt) < limitReportInterval {
+		return false
+	}
+	targetHealth.limitReportedAt = now
+	change.Subject, change.Service = target.ID, target.Service
+	change.LatencyFactor, change.FailureRate = targetHealth.latencyFactor, targetHealth.failureRate
+	selector.addHealthChange(change)
+	return true
+}
+
 // partOf returns this instance's part of the limit of the target.
 func (selector *Selector) partOf(now time.Time, target catalogue.Target, candidates []catalogue.Target, limit Limit) quota.Part {
 	near := map[string]bool{}
--- a/reel/choice/selector.go
+++ b/reel/choice/selector.go
@@ -93,6 +93,7 @@
 	quietBorn           int64            // start of the process that said so
 	limit               *limitState      // nil while the target names no limit
 	limitEnded          attemptOfProcess // the newest attempt whose answer ended a limit
+	limitReportedAt     time.Time        // when a change of the limit was last reported
 }
 
 // Attempt is an attempt in flight.
@@ -263,7 +264,7 @@
 		selector.noteQuiet(now, target, targetHealth, report.Quiet)
 	}
 	if report.Limit != nil {
-		selector.noteLimit(target, targetHealth, attempt.SentAt, *report.Limit)
+		selector.noteLimit(now, target, targetHealth, attempt.SentAt, *report.Limit)
 	}
 	latencyHistogram := selector.latencyHistogram(attempt.Route)
 	waited := now.Sub(attempt.SentAt)
@@ -345,12 +346,21 @@
 		}
 	}
 	for id, targetHealth := range selector.targets {
-		if len(targetHealth.inFlight) == 0 && !now.Before(targetHealth.quietUntil) && targetHealth.limit == nil && now.Sub(targetHealth.lastUsed) >= idleTTL {
+		if len(targetHealth.inFlight) == 0 && !now.Before(targetHealth.quietUntil) && now.Sub(targetHealth.lastUsed) >= targetHealth.ttl() {
 			delete(selector.targets, id)
 		}
 	}
 }
 
+// ttl returns the time without use after which the statistics are deleted. An instance whose turn to send to a target with a
+// limit comes seldom must not forget the limit.
+func (targetHealth *targetHealth) ttl() time.Duration {
+	if targetHealth.limit != nil {
+		return limitTTL
+	}
+	return idleTTL
+}
+
 // targetHealth returns the statistics of the target, which it creates if there are none.
 func (selector *Selector) targetHealth(id string) *targetHealth {
 	health, ok := selector.targets[id]
