--- a/reel/replication/replication.go
+++ b/reel/replication/replication.go
@@ -50,6 +50,7 @@
 	startedAt   time.Time                            // zero before the first call of CheckStart
 	heard       bool                                 // whether a message of any peer arrived
 	knows       bool                                 // whether this instance knows the marks of its peers
+	inVain      bool                                 // whether it gave up waiting for them
 }
 
 // New returns a machine that replicates the marks of the tracker.
@@ -77,10 +78,17 @@
 	if machine.startedAt.IsZero() {
 		machine.startedAt = now
 	}
+	if machine.knows {
+		return
+	}
 	waited := now.Sub(machine.startedAt)
-	machine.knows = machine.knows || !hasPeers || waited >= aloneWait || machine.heard && waited >= startingWait
+	machine.inVain = hasPeers && (waited >= aloneWait || machine.heard && waited >= startingWait)
+	machine.knows = machine.inVain || !hasPeers
 }
 
+// WaitedInVain reports whether no peer that knows the marks was heard of in time after the start.
+func (machine *Machine) WaitedInVain() bool { return machine.inVain }
+
 // Pending reports whether marks are queued.
 func (machine *Machine) Pending() bool {
 	return machine.crashed.Len()+machine.others.Len() > 0
--- a/reel/replication/replication_test.go
+++ b/reel/replication/replication_test.go
@@ -169,6 +169,9 @@
 				started.Receive(start, "old", *test.message)
 			}
 			started.CheckStart(start.Add(test.after), test.hasPeers)
+			if inVain := test.want && test.after > 0; started.WaitedInVain() != inVain {
+				t.Errorf("waited in vain: %v, want %v", started.WaitedInVain(), inVain)
+			}
 			if started.Knows() != test.want {
 				t.Errorf("knows the marks: %v, want %v", started.Knows(), test.want)
 			}
--- a/reelctl/trace/trace.go
+++ b/reelctl/trace/trace.go
@@ -30,7 +30,7 @@
 	Why     string        `json:"why"`
 	Grade   string        `json:"grade"`
 	Limited string        `json:"limited"` // target that was left out because of its rate limit
-	After   time.Duration `json:"after"` // from the start of the request to the attempt
+	After   time.Duration `json:"after"`   // from the start of the request to the attempt
 	Took    time.Duration `json:"took"`
 	Status  int           `json:"status"`
 	Cause   string        `json:"cause"`
--- a/shallotreel/roster/roster.go
+++ b/shallotreel/roster/roster.go
@@ -205,13 +205,22 @@
 	default:
 		return
 	}
-	if roster.onMarksKnown != nil && roster.marks.Knows() {
-		roster.onMarksKnown()
-		roster.onMarksKnown = nil
-	}
+	roster.announceMarksKnown()
 	roster.publish()
 }
 
+// announceMarksKnown calls onMarksKnown once.
+func (roster *Roster) announceMarksKnown() {
+	if roster.onMarksKnown == nil || !roster.marks.Knows() {
+		return
+	}
+	if roster.marks.WaitedInVain() {
+		roster.log.WithField("members", len(roster.Members())).Warn("no peer told its marks in time; serving without them")
+	}
+	roster.onMarksKnown()
+	roster.onMarksKnown = nil
+}
+
 // hasSeeds reports whether the seeds name another instance.
 func (roster *Roster) hasSeeds() bool {
 	self := roster.machine.Self().Peer
