Path to the targets: watch it, and log when it is lost and back

Before any change of logic, the logs could not tell an instance without a path from many sick targets. Package reach joins the signs of life of all targets; if there is none for too long, or if two targets accept no new connection, it asks for connections to two others, and believes the path lost when none is accepted. reachwatch runs it, logs and counts.

--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -236,6 +236,16 @@
 	return Unknown
 }
 
+// Accepts reports whether the target accepts a connection, which is closed at once.
+func (pool *Pool) Accepts(address netip.AddrPort) bool {
+	conn, err := net.DialTimeout("tcp", address.String(), refusalTimeout)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
 // listensAfter returns what the error of a failed connection shows.
 func listensAfter(err error) Listens {
 	if errors.Is(err, syscall.ECONNREFUSED) {
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -27,12 +27,14 @@
 	"shallotreel.example/reel/choice"
 	"shallotreel.example/reel/member"
 	"shallotreel.example/reel/quarantine"
+	"shallotreel.example/reel/reach"
 	"shallotreel.example/reel/workingset"
 	"shallotreel.example/shallotreel/cataloguesync"
 	"shallotreel.example/shallotreel/connpool"
 	"shallotreel.example/shallotreel/crashwatch"
 	"shallotreel.example/shallotreel/feed"
 	"shallotreel.example/shallotreel/ingress"
+	"shallotreel.example/shallotreel/reachwatch"
 	"shallotreel.example/shallotreel/roster"
 	"shallotreel.example/shallotreel/settings"
 )
@@ -67,6 +69,7 @@
 	pool         *connpool.Pool
 	handler      *ingress.Handler
 	crashes      *crashwatch.Watch
+	path         *reachwatch.Watch
 	servers      []*http.Server
 	callerServer *http.Server
 	stopping     atomic.Bool
@@ -124,6 +127,7 @@
 	front.router = ingress.NewRouter(front, front.pool, config.Extra.Limits(), front.self, random(), front.logHealthChange)
 	tracker := &quarantine.Tracker{}
 	front.crashes = crashwatch.New(tracker, front, front.replicateMark, front.log, front.scope)
+	front.path = reachwatch.New(front, front.pool, front.pathChanged, front.log, front.scope)
 	var err error
 	front.roster, err = roster.Listen(front.ctx, front.system, roster.Config{Self: front.self, Seeds: config.Seeds,
 		Log: front.log, Random: random(), OnChange: front.router.SetMembers, Tracker: tracker, OnMark: front.logMark,
@@ -137,7 +141,7 @@
 	if front.syncServer, err = cataloguesync.Serve(config.PeerAddress, front.feed); err != nil {
 		return err
 	}
-	front.handler = ingress.New(front.feed, front.router, front.pool, front.crashes, newRecorder(front.log, front.scope))
+	front.handler = ingress.New(front.feed, front.router, front.pool, front.crashes, front.path, newRecorder(front.log, front.scope))
 	front.callerServer, err = front.serve(config.CallerAddress, front.handler)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
@@ -182,12 +186,16 @@
 	meter := workingset.NewMeter(front.self)
 	crashTicker := time.NewTicker(crashPeriod)
 	defer crashTicker.Stop()
+	pathTicker := time.NewTicker(reachwatch.TickPeriod)
+	defer pathTicker.Stop()
 	for {
 		select {
 		case <-front.ctx.Done():
 			return
 		case now := <-crashTicker.C:
 			front.crashes.Tick(now)
+		case now := <-pathTicker.C:
+			front.path.Tick(now)
 		case now := <-ticker.C:
 			front.pool.Sweep(now)
 			front.router.Sweep(now)
@@ -218,6 +226,15 @@
 	front.log.WithFields(fields).Info("health changed")
 }
 
+// pathChanged is called when the path to the targets is lost or back.
+func (front *Front) pathChanged(change reach.Change) {
+	lost := 0.0
+	if change.Lost {
+		lost = 1
+	}
+	front.scope.Gauge("path_is_lost").Update(lost)
+}
+
 func (front *Front) replicateMark(fingerprint quarantine.Fingerprint) {
 	front.roster.ReplicateMark(fingerprint)
 }
--- a/shallotreel/ingress/handler.go
+++ b/shallotreel/ingress/handler.go
@@ -14,6 +14,7 @@
 	"shallotreel.example/reel/result"
 	"shallotreel.example/shallotreel/connpool"
 	"shallotreel.example/shallotreel/crashwatch"
+	"shallotreel.example/shallotreel/reachwatch"
 )
 
 const (
@@ -29,6 +30,7 @@
 	router             *Router
 	pool               *connpool.Pool
 	crashes            *crashwatch.Watch
+	path               *reachwatch.Watch
 	recorder           Recorder
 	keepAlivesDisabled atomic.Bool
 	isOpen             atomic.Bool
@@ -79,8 +81,8 @@
 }
 
 // New returns a handler that takes its view of routes and targets from the catalogue.
-func New(catalogue Registry, router *Router, pool *connpool.Pool, crashes *crashwatch.Watch, recorder Recorder) *Handler {
-	return &Handler{catalogue: catalogue, router: router, pool: pool, crashes: crashes, recorder: recorder}
+func New(catalogue Registry, router *Router, pool *connpool.Pool, crashes *crashwatch.Watch, path *reachwatch.Watch, recorder Recorder) *Handler {
+	return &Handler{catalogue: catalogue, router: router, pool: pool, crashes: crashes, path: path, recorder: recorder}
 }
 
 // Open lets the handler serve requests. Before, it refuses them as an instance that is starting.
--- a/shallotreel/ingress/handler_test.go
+++ b/shallotreel/ingress/handler_test.go
@@ -22,9 +22,11 @@
 	"shallotreel.example/reel/extra"
 	"shallotreel.example/reel/member"
 	"shallotreel.example/reel/quarantine"
+	"shallotreel.example/reel/reach"
 	"shallotreel.example/reel/result"
 	"shallotreel.example/shallotreel/connpool"
 	"shallotreel.example/shallotreel/crashwatch"
+	"shallotreel.example/shallotreel/reachwatch"
 )
 
 // fixed is a Catalogue whose view never changes.
@@ -84,7 +86,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	crashes := crashwatch.New(fixture.tracker, view, func(quarantine.Fingerprint) {}, log, tally.NoopScope)
-	fixture.handler = New(view, router, pool, crashes, fixture.records)
+	path := reachwatch.New(view, pool, func(reach.Change) {}, log, tally.NoopScope)
+	fixture.handler = New(view, router, pool, crashes, path, fixture.records)
 	fixture.handler.Open()
 }
 
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -118,9 +118,11 @@
 	run.record.Attempts = append(run.record.Attempts, Attempt{Target: target.ID, Service: send.Service,
 		Kind: send.Kind, Grade: send.Pick.Grade, Limited: send.Pick.Limited, After: now.Sub(run.start)})
 	run.handler.router.recordSent(now, target.ID, choice.Attempt{ID: send.AttemptID, Route: run.plan.Route.Name, SentAt: now})
+	suspicion := run.handler.router.suspicionTimeout(run.plan.Route)
+	run.handler.path.Sent(now, send.AttemptID, suspicion)
 	run.handler.crashes.Sent(crash.Attempt{ID: send.AttemptID, Request: run.record.ID, Fingerprint: run.plan.Fingerprint,
 		Target: target, Wave: run.wave + uint64(send.Generation), SentAt: now,
-		Suspicion: run.handler.router.suspicionTimeout(run.plan.Route)})
+		Suspicion: suspicion})
 	call := &connpool.Call{Address: target.Address, Method: run.outbound.Method, MaxBody: maxBody(run.plan.Route), RequireFresh: !run.plan.Route.Idempotent,
 		Request: run.outbound.EncodeAttempt(target.ID, send.Deadline.Sub(now)), MatchesResponse: run.outbound.EchoedIn}
 	call.Done = func(ended connpool.Result) { run.handleResult(send, ended) }
@@ -144,6 +146,7 @@
 	answer, report, outcome := run.classify(ended)
 	answer.AttemptID = send.AttemptID
 	now := time.Now()
+	run.handler.path.Ended(now, send.AttemptID, send.Pick.Target.Address, ended)
 	run.handler.router.recordEnd(now, send.Pick.Target, send.AttemptID, outcome, report)
 	if report.Leaving {
 		run.handler.catalogue.RecordLeaving(send.Pick.Target)
--- /dev/null
+++ b/shallotreel/reachwatch/reachwatch.go
@@ -0,0 +1,192 @@
+package reachwatch
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"shallotreel.example/reel/catalogue"
+	"shallotreel.example/reel/reach"
+	"shallotreel.example/shallotreel/connpool"
+)
+
+// TickPeriod is the time between two calls of Tick.
+const TickPeriod = 50 * time.Millisecond
+
+// Prober opens connections to targets.
+type Prober interface {
+	// Accepts reports whether the target accepts a connection, which is closed at once.
+	Accepts(address netip.AddrPort) bool
+}
+
+// Catalogue provides the newest view of the targets.
+type Catalogue interface{ View() *catalogue.View }
+
+// Watch is the belief of this process about its path to the targets. It is safe for concurrent use.
+type Watch struct {
+	catalogue Catalogue
+	prober    Prober
+	log       logrus.FieldLogger
+	onChange  func(reach.Change) // called without the lock
+	counters  counters
+	mutex     sync.Mutex
+	monitor   *reach.Monitor
+	lost      chan struct{} // closed when the path is lost; a new one while it is there
+}
+
+type counters struct{ lost, found, probes tally.Counter }
+
+// New returns a Watch that believes that targets can be reached and calls onChange when that changes.
+func New(targets Catalogue, prober Prober, onChange func(reach.Change), log logrus.FieldLogger, scope tally.Scope) *Watch {
+	return &Watch{catalogue: targets, prober: prober, log: log, onChange: onChange, monitor: reach.New(time.Now()),
+		lost:     make(chan struct{}),
+		counters: counters{scope.Counter("path_lost"), scope.Counter("path_found"), scope.Counter("path_probes")}}
+}
+
+// IsLost reports whether the path to the targets is lost.
+func (watch *Watch) IsLost() bool {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	return watch.monitor.Lost()
+}
+
+// Lost returns a channel that is closed when the path is lost, or is closed already.
+func (watch *Watch) Lost() <-chan struct{} {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	return watch.lost
+}
+
+// AliveSince reports whether any target has given a sign of life after the given time.
+func (watch *Watch) AliveSince(at time.Time) bool {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	return watch.monitor.AliveSince(at)
+}
+
+// Sent records an attempt; it is overdue if it has no answer after the suspicion time.
+func (watch *Watch) Sent(now time.Time, id uint64, suspicion time.Duration) {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	watch.monitor.Sent(now, id, suspicion)
+}
+
+// Ended records the end of the attempt at the target.
+func (watch *Watch) Ended(now time.Time, id uint64, target netip.AddrPort, ended connpool.Result) {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	switch {
+	case ended.Response != nil:
+		watch.monitor.Answered(now, id, target)
+	case ended.Err == connpool.ErrCanceled:
+		watch.monitor.Abandoned(now, id, target)
+	default:
+		watch.monitor.Failed(now, id, target, ended.Sent || ended.Err == connpool.ErrConnectionLimit)
+		if ended.Listens == connpool.Accepted {
+			watch.monitor.Accepted(now)
+		}
+	}
+}
+
+// ConfirmRefusal reports whether other targets accept connections, so that a target that refuses one has ended.
+func (watch *Watch) ConfirmRefusal(refusing netip.AddrPort) bool {
+	accepted, _ := watch.connect(watch.randomTargets(refusing))
+	return accepted > 0
+}
+
+// Tick starts a round of probes if one is due.
+func (watch *Watch) Tick(now time.Time) {
+	watch.mutex.Lock()
+	round, due := watch.monitor.Tick(now)
+	watch.mutex.Unlock()
+	if due {
+		go watch.probe(round)
+	}
+}
+
+// probe connects to the targets of the round, or to random ones.
+func (watch *Watch) probe(round reach.Round) {
+	targets := round.Targets
+	if targets == nil {
+		targets = watch.randomTargets(netip.AddrPort{})
+	}
+	accepted, failed := watch.connect(targets)
+	watch.mutex.Lock()
+	change, changed := watch.monitor.RoundEnded(time.Now(), accepted, failed)
+	if changed {
+		watch.signal(change.Lost)
+	}
+	watch.mutex.Unlock()
+	if changed {
+		watch.report(change, failed)
+	}
+}
+
+// connect connects to the targets and returns how many accepted the connection and how many did not.
+func (watch *Watch) connect(targets []netip.AddrPort) (accepted, failed int) {
+	results := make(chan bool, len(targets))
+	for _, target := range targets {
+		watch.counters.probes.Inc(1)
+		go func() { results <- watch.prober.Accepts(target) }()
+	}
+	for range targets {
+		if <-results {
+			accepted++
+		} else {
+			failed++
+		}
+	}
+	return accepted, failed
+}
+
+// randomTargets returns the addresses of up to reach.ProbesPerRound random targets of different services, if there are as many, other
+// than the given one.
+func (watch *Watch) randomTargets(except netip.AddrPort) []netip.AddrPort {
+	view := watch.catalogue.View()
+	if view.Configuration == nil {
+		return nil
+	}
+	var addresses []netip.AddrPort
+	for range reach.ProbesPerRound {
+		for service := range view.Configuration.Services { // in random order
+			targets := view.Targets(service)
+			if len(targets) == 0 || len(addresses) == reach.ProbesPerRound {
+				continue
+			}
+			address := targets[rand.IntN(len(targets))].Address
+			if address != except && !slices.Contains(addresses, address) {
+				addresses = append(addresses, address)
+			}
+		}
+	}
+	return addresses
+}
+
+// signal closes the channel of a lost path, or replaces the closed one. The caller must hold the lock.
+func (watch *Watch) signal(lost bool) {
+	if lost {
+		close(watch.lost)
+		return
+	}
+	watch.lost = make(chan struct{})
+}
+
+// report logs the change and passes it on.
+func (watch *Watch) report(change reach.Change, probesFailed int) {
+	now := time.Now()
+	fields := logrus.Fields{"evidence": string(change.Cause), "pending": change.Pending, "since_ms": now.Sub(change.Since).Milliseconds()}
+	if change.Lost {
+		watch.counters.lost.Inc(1)
+		fields["failed_targets"], fields["failed_probes"] = change.Failed, probesFailed
+		watch.log.WithFields(fields).Warn("path to the targets lost")
+	} else {
+		watch.counters.found.Inc(1)
+		watch.log.WithFields(fields).Info("path to the targets is back")
+	}
+	watch.onChange(change)
+}
