Crash evidence: silence and refusals without a path to the targets are none

Cause: an instance blames a target for its silence, or for a refused connection, without asking whether it reaches any.

Now an abandoned attempt is marked only after a sign of life of some target since it was overdue; until then it is kept in doubt. A refusal counts only if another target accepts a connection (one connection answers all who wait). When the path is lost, attempts that were in flight, or not overdue at the newest sign of life, are forgotten, so that a target that really ends later is not held against them.

--- a/reel/crash/ledger.go
+++ b/reel/crash/ledger.go
@@ -151,6 +151,22 @@
 	}
 }
 
+// HasAbandoned reports whether any attempt at the target ended without an answer, which Ended would attribute.
+func (ledger *Ledger) HasAbandoned(targetID string) bool {
+	return slices.ContainsFunc(ledger.targets[targetID], func(entry *entry) bool { return entry.abandoned })
+}
+
+// Forget removes the attempts whose silence shows nothing, because no target could be reached: those in flight, and those that were
+// not overdue at the given time.
+func (ledger *Ledger) Forget(since time.Time) {
+	for _, entry := range ledger.order {
+		if !entry.removed && (!entry.abandoned || entry.SentAt.Add(entry.Suspicion).After(since)) {
+			ledger.remove(entry)
+		}
+	}
+	clear(ledger.silent)
+}
+
 // Suspected returns the ended attempt with the ID, and whether its target may have crashed under it.
 func (ledger *Ledger) Suspected(id uint64) (Attempt, bool) {
 	entry, ok := ledger.attempts[id]
--- a/reel/reach/monitor.go
+++ b/reel/reach/monitor.go
@@ -59,6 +59,7 @@
 	cause        Cause
 	changedAt    time.Time
 	aliveAt      time.Time // newest sign of life of any target
+	acceptedAt   time.Time // when a target last accepted a connection
 	pending      map[uint64]attempt
 	failed       map[netip.AddrPort]bool      // targets of which an attempt failed since aliveAt
 	unopened     map[netip.AddrPort]time.Time // targets to which no connection could be opened, since one could to any
@@ -87,6 +88,22 @@
 // Lost reports whether the path is lost.
 func (monitor *Monitor) Lost() bool { return monitor.lost }
 
+// InDoubt reports whether the path is lost or may be lost.
+func (monitor *Monitor) InDoubt(now time.Time) bool {
+	return monitor.lost || monitor.round != nil || monitor.isSilent(now)
+}
+
+// LostFor returns for how long the path has been lost, or 0 if it is not.
+func (monitor *Monitor) LostFor(now time.Time) time.Duration {
+	if !monitor.lost {
+		return 0
+	}
+	return now.Sub(monitor.changedAt)
+}
+
+// AcceptedSince reports whether any target has accepted a connection after the given time.
+func (monitor *Monitor) AcceptedSince(at time.Time) bool { return monitor.acceptedAt.After(at) }
+
 // AliveSince reports whether any target has given a sign of life after the given time. Without one, silence says nothing
 // of a target.
 func (monitor *Monitor) AliveSince(at time.Time) bool { return monitor.aliveAt.After(at) }
@@ -123,6 +140,7 @@
 // Accepted records that a target accepted a connection.
 func (monitor *Monitor) Accepted(now time.Time) {
 	clear(monitor.unopened)
+	monitor.acceptedAt = now
 	monitor.alive(now)
 }
 
@@ -221,13 +239,31 @@
 	case round.Cause == Silence && monitor.aliveAt.After(monitor.roundBegan):
 		return Change{}, false
 	}
+	return monitor.lose(now, round.Cause, failedTargets), true
+}
+
+// Verified records the result of probes that began at the given time, out of turn, because an attempt failed. It returns the loss of
+// the path that follows, or false.
+func (monitor *Monitor) Verified(now, began time.Time, accepted, failed int) (Change, bool) {
+	failedTargets := len(monitor.failed)
+	if accepted > 0 {
+		monitor.Accepted(now)
+	}
+	if monitor.lost || accepted > 0 || failed == 0 || monitor.aliveAt.After(began) {
+		return Change{}, false
+	}
+	return monitor.lose(now, Silence, failedTargets), true
+}
+
+// lose changes the path to lost.
+func (monitor *Monitor) lose(now time.Time, cause Cause, failedTargets int) Change {
 	if now.Sub(monitor.changedAt) < flapTime {
 		monitor.returnRounds = min(2*monitor.returnRounds, maxReturnRounds)
 	} else {
 		monitor.returnRounds = minReturnRounds
 	}
-	monitor.lost, monitor.cause, monitor.changedAt, monitor.returned = true, round.Cause, now, 0
-	return Change{Lost: true, Cause: round.Cause, Since: monitor.aliveAt, Pending: len(monitor.pending), Failed: failedTargets}, true
+	monitor.lost, monitor.cause, monitor.changedAt, monitor.returned = true, cause, now, 0
+	return Change{Lost: true, Cause: cause, Since: monitor.aliveAt, Pending: len(monitor.pending), Failed: failedTargets}
 }
 
 // checkReturn counts the successful rounds in a row.
--- a/shallotreel/crashwatch/crashwatch.go
+++ b/shallotreel/crashwatch/crashwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,19 +41,34 @@
 	pendingSince time.Time // start of the second to which pending applies
 	pending      int
 	trials       map[quarantine.Fingerprint]time.Time // when the next trial may begin, zero while one is in progress
+	alive        func(time.Time) bool                 // reports whether any target has given a sign of life after the time
+	doubtful     []uint64                             // abandoned attempts at silent targets, since which no target has given one
+}
+
+// Option changes a new Watch.
+type Option func(*Watch)
+
+// WithSignsOfLife makes the silence of a target count only after a sign of life of any target, which the function reports for
+// the time after the given one. Without it, this instance may have no path to the targets.
+func WithSignsOfLife(alive func(time.Time) bool) Option {
+	return func(watch *Watch) { watch.alive = alive }
 }
 
 type counters struct{ attributed, dismissed, pending, learned, refused, cleared, dropped tally.Counter }
 
 // New returns a Watch that keeps its marks in the tracker and calls replicate for each one that changes.
-func New(tracker *quarantine.Tracker, targets Catalogue, replicate func(quarantine.Fingerprint), log logrus.FieldLogger, scope tally.Scope) *Watch {
-	return &Watch{tracker: tracker, catalogue: targets, log: log, replicate: replicate, ledger: crash.NewLedger(),
-		trials: map[quarantine.Fingerprint]time.Time{},
+func New(tracker *quarantine.Tracker, targets Catalogue, replicate func(quarantine.Fingerprint), log logrus.FieldLogger, scope tally.Scope, options ...Option) *Watch {
+	watch := &Watch{tracker: tracker, catalogue: targets, log: log, replicate: replicate, ledger: crash.NewLedger(),
+		trials: map[quarantine.Fingerprint]time.Time{}, alive: func(time.Time) bool { return true },
 		counters: counters{attributed: scope.Counter("crashes_attributed"), dismissed: scope.Counter("crashes_dismissed"),
 			pending: scope.Counter("crashes_suspected"),
 			learned: scope.Counter("crash_marks_learned"),
 			refused: scope.Counter("crash_refusals"), cleared: scope.Counter("crash_marks_cleared"),
 			dropped: scope.Counter("crash_lines_dropped")}}
+	for _, option := range options {
+		option(watch)
+	}
+	return watch
 }
 
 // Verdict returns the verdict on the requests with the fingerprint, and for how long it lasts. A request under which a
@@ -129,6 +145,17 @@
 	if answered || !suspected {
 		return
 	}
+	if !watch.alive(attempt.SentAt.Add(attempt.Suspicion)) {
+		watch.mutex.Lock()
+		watch.doubtful = append(watch.doubtful, id)
+		watch.mutex.Unlock()
+		return
+	}
+	watch.recordPending(now, attempt)
+}
+
+// recordPending marks the request whose attempt was abandoned, unless there are many such requests.
+func (watch *Watch) recordPending(now time.Time, attempt crash.Attempt) {
 	mark, marked := watch.tracker.Mark(now, attempt.Fingerprint)
 	if mark.HasWave(attempt.Wave) || !marked && !watch.allowPending(now) {
 		return
@@ -189,6 +216,13 @@
 	}
 }
 
+// HasAbandoned reports whether Refused would attribute any attempt at the target.
+func (watch *Watch) HasAbandoned(target catalogue.Target) bool {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	return watch.ledger.HasAbandoned(target.ID)
+}
+
 // Refused records that the target refuses connections. Unless it is leaving or its registration has ended, its process has
 // crashed.
 func (watch *Watch) Refused(now time.Time, target catalogue.Target) {
@@ -224,10 +258,35 @@
 	watch.record(now, attributions)
 }
 
+// PathLost forgets the attempts that are silent because this instance reaches no target, since the given time.
+func (watch *Watch) PathLost(since time.Time) {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	watch.ledger.Forget(since)
+	watch.doubtful = nil
+}
+
+// takeVouched returns the doubtful attempts since whose silence any target has given a sign of life. The caller must hold the lock.
+func (watch *Watch) takeVouched() []crash.Attempt {
+	var vouched []crash.Attempt
+	watch.doubtful = slices.DeleteFunc(watch.doubtful, func(id uint64) bool {
+		attempt, suspected := watch.ledger.Suspected(id)
+		if suspected && !watch.alive(attempt.SentAt.Add(attempt.Suspicion)) {
+			return false
+		}
+		if suspected {
+			vouched = append(vouched, attempt)
+		}
+		return true
+	})
+	return vouched
+}
+
 // Tick attributes attempts at silent targets and removes what has expired. It must be called several times a second.
 func (watch *Watch) Tick(now time.Time) {
 	watch.mutex.Lock()
 	attributions := watch.ledger.Tick(now)
+	vouched := watch.takeVouched()
 	sweep := now.Sub(watch.sweptAt) >= sweepPeriod
 	if sweep {
 		watch.sweptAt = now
@@ -236,6 +295,9 @@
 		})
 	}
 	watch.mutex.Unlock()
+	for _, attempt := range vouched {
+		watch.recordPending(now, attempt)
+	}
 	if sweep {
 		watch.tracker.RemoveExpired(now)
 	}
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -126,8 +126,8 @@
 		Processor: uint32(thousandths * config.Processor)}
 	front.router = ingress.NewRouter(front, front.pool, config.Extra.Limits(), front.self, random(), front.logHealthChange)
 	tracker := &quarantine.Tracker{}
-	front.crashes = crashwatch.New(tracker, front, front.replicateMark, front.log, front.scope)
 	front.path = reachwatch.New(front, front.pool, front.pathChanged, front.log, front.scope)
+	front.crashes = crashwatch.New(tracker, front, front.replicateMark, front.log, front.scope, crashwatch.WithSignsOfLife(front.path.AliveSince))
 	var err error
 	front.roster, err = roster.Listen(front.ctx, front.system, roster.Config{Self: front.self, Seeds: config.Seeds,
 		Log: front.log, Random: random(), OnChange: front.router.SetMembers, Tracker: tracker, OnMark: front.logMark,
@@ -233,6 +233,9 @@
 		lost = 1
 	}
 	front.scope.Gauge("path_is_lost").Update(lost)
+	if change.Lost {
+		front.crashes.PathLost(change.Since)
+	}
 }
 
 func (front *Front) replicateMark(fingerprint quarantine.Fingerprint) {
--- a/shallotreel/ingress/crash.go
+++ b/shallotreel/ingress/crash.go
@@ -25,7 +25,7 @@
 	default:
 		crashes.Broken(send.AttemptID)
 	}
-	if ended.Listens == connpool.Refused {
+	if answer.Refused {
 		crashes.Refused(now, send.Pick.Target)
 	}
 	if ended.Err == connpool.ErrCanceled && !run.answered.Load() && crashes.IsSuspected(send.AttemptID) {
@@ -35,10 +35,15 @@
 
 // probeSilentTarget finds out whether the target of an attempt that was given up still accepts connections.
 func (run *run) probeSilentTarget(now time.Time, target catalogue.Target) {
-	crashes := run.handler.crashes
 	run.handler.pool.Probe(now, target.Address, func(listens connpool.Listens) {
-		if listens == connpool.Refused {
-			crashes.Refused(time.Now(), target)
+		if listens == connpool.Refused && run.handler.confirmRefusal(time.Now(), target, false) {
+			run.handler.crashes.Refused(time.Now(), target)
 		}
 	})
 }
+
+// confirmRefusal reports whether the target, which refused a connection at the given time, has ended: other targets accept
+// connections. It finds that out only if anything may follow from it: if an attempt was sent, or an earlier one ended without an answer.
+func (handler *Handler) confirmRefusal(refusedAt time.Time, target catalogue.Target, sent bool) bool {
+	return (sent || handler.crashes.HasAbandoned(target)) && handler.path.ConfirmRefusal(refusedAt, target.Address)
+}
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -151,6 +151,7 @@
 	if report.Leaving {
 		run.handler.catalogue.RecordLeaving(send.Pick.Target)
 	}
+	answer.Refused = ended.Listens == connpool.Refused && run.handler.confirmRefusal(now, send.Pick.Target, ended.Sent)
 	run.watchForCrash(now, send, ended, answer)
 	select {
 	case run.answers <- answer:
@@ -161,7 +162,7 @@
 // classify translates the end of a call for the machine and for the selection of targets.
 func (run *run) classify(ended connpool.Result) (*query.Answer, choice.Report, choice.Outcome) {
 	if ended.Err != nil {
-		answer := &query.Answer{Sent: ended.Sent, Refused: ended.Listens == connpool.Refused, Cause: ended.Err.Error()}
+		answer := &query.Answer{Sent: ended.Sent, Cause: ended.Err.Error()}
 		if ended.Sent {
 			answer.Execution = query.MayHaveRun
 		}
--- a/shallotreel/reachwatch/reachwatch.go
+++ b/shallotreel/reachwatch/reachwatch.go
@@ -15,8 +15,13 @@
 	"shallotreel.example/shallotreel/connpool"
 )
 
-// TickPeriod is the time between two calls of Tick.
-const TickPeriod = 50 * time.Millisecond
+const (
+	// TickPeriod is the time between two calls of Tick.
+	TickPeriod = 50 * time.Millisecond
+	// maxConfirmRounds is the number of times that other targets are connected to, in order to confirm that one has ended. Many may
+	// have ended at once.
+	maxConfirmRounds = 3
+)
 
 // Prober opens connections to targets.
 type Prober interface {
@@ -37,6 +42,8 @@
 	mutex     sync.Mutex
 	monitor   *reach.Monitor
 	lost      chan struct{} // closed when the path is lost; a new one while it is there
+	// confirming serializes the probes for failed attempts, so that one answers all who wait.
+	confirming sync.Mutex
 }
 
 type counters struct{ lost, found, probes tally.Counter }
@@ -55,6 +62,13 @@
 	return watch.monitor.Lost()
 }
 
+// InDoubt reports whether the path to the targets is lost or may be lost.
+func (watch *Watch) InDoubt(now time.Time) bool {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	return watch.monitor.InDoubt(now)
+}
+
 // Lost returns a channel that is closed when the path is lost, or is closed already.
 func (watch *Watch) Lost() <-chan struct{} {
 	watch.mutex.Lock()
@@ -93,10 +107,63 @@
 	}
 }
 
-// ConfirmRefusal reports whether other targets accept connections, so that a target that refuses one has ended.
-func (watch *Watch) ConfirmRefusal(refusing netip.AddrPort) bool {
-	accepted, _ := watch.connect(watch.randomTargets(refusing))
-	return accepted > 0
+// Verify reports whether the path is lost, after a request has failed at the given time. Without a sign of life since, it connects to
+// other targets, which takes as long as one connection.
+func (watch *Watch) Verify(failedAt time.Time) bool {
+	watch.confirming.Lock()
+	defer watch.confirming.Unlock()
+	if watch.IsLost() || watch.AliveSince(failedAt) {
+		return watch.IsLost()
+	}
+	began := time.Now()
+	accepted, failed := watch.connect(watch.randomTargets(netip.AddrPort{}))
+	watch.mutex.Lock()
+	change, changed := watch.monitor.Verified(time.Now(), began, accepted, failed)
+	watch.mutex.Unlock()
+	watch.announce(change, changed, failed)
+	return watch.IsLost()
+}
+
+// ConfirmRefusal reports whether other targets accept connections after one has refused one at the given time, so that its process
+// has ended. It also does if there is no other target. It may take as long as some connections.
+func (watch *Watch) ConfirmRefusal(refusedAt time.Time, refusing netip.AddrPort) bool {
+	watch.confirming.Lock()
+	defer watch.confirming.Unlock()
+	for range maxConfirmRounds {
+		if watch.IsLost() {
+			return false
+		}
+		if watch.acceptedSince(refusedAt) {
+			return true
+		}
+		others := watch.randomTargets(refusing)
+		if len(others) == 0 {
+			return true
+		}
+		if accepted, _ := watch.connect(others); accepted > 0 {
+			watch.recordAccepted()
+		}
+	}
+	return watch.acceptedSince(refusedAt)
+}
+
+func (watch *Watch) acceptedSince(at time.Time) bool {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	return watch.monitor.AcceptedSince(at)
+}
+
+func (watch *Watch) recordAccepted() {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	watch.monitor.Accepted(time.Now())
+}
+
+// LostFor returns for how long the path has been lost, or 0 if it is not.
+func (watch *Watch) LostFor(now time.Time) time.Duration {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	return watch.monitor.LostFor(now)
 }
 
 // Tick starts a round of probes if one is due.
@@ -118,12 +185,21 @@
 	accepted, failed := watch.connect(targets)
 	watch.mutex.Lock()
 	change, changed := watch.monitor.RoundEnded(time.Now(), accepted, failed)
-	if changed {
-		watch.signal(change.Lost)
+	if changed && !change.Lost {
+		watch.lost = make(chan struct{})
 	}
 	watch.mutex.Unlock()
-	if changed {
-		watch.report(change, failed)
+	watch.announce(change, changed, failed)
+}
+
+// announce reports the change, if there is one, and ends the waiting for a lost path.
+func (watch *Watch) announce(change reach.Change, changed bool, probesFailed int) {
+	if !changed {
+		return
+	}
+	watch.report(change, probesFailed)
+	if change.Lost {
+		close(watch.lost) // after onChange, by which the silence of targets is no evidence of crashes any more
 	}
 }
 
@@ -167,15 +243,6 @@
 	return addresses
 }
 
-// signal closes the channel of a lost path, or replaces the closed one. The caller must hold the lock.
-func (watch *Watch) signal(lost bool) {
-	if lost {
-		close(watch.lost)
-		return
-	}
-	watch.lost = make(chan struct{})
-}
-
 // report logs the change and passes it on.
 func (watch *Watch) report(change reach.Change, probesFailed int) {
 	now := time.Now()
--- /dev/null
+++ b/shallotreel/reachwatch/reachwatch_test.go
@@ -0,0 +1,144 @@
+package reachwatch
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"shallotreel.example/reel/catalogue"
+	"shallotreel.example/reel/reach"
+	"shallotreel.example/shallotreel/connpool"
+)
+
+// prober is a Prober whose targets accept connections unless the path is cut.
+type prober struct {
+	cut    atomic.Bool
+	probes atomic.Int64
+}
+
+func (prober *prober) Accepts(netip.AddrPort) bool {
+	prober.probes.Add(1)
+	if prober.cut.Load() {
+		time.Sleep(100 * time.Millisecond)
+		return false
+	}
+	time.Sleep(time.Millisecond)
+	return true
+}
+
+// fixed is a Catalogue whose view never changes.
+type fixed struct{ view *catalogue.View }
+
+func (fixed fixed) View() *catalogue.View { return fixed.view }
+
+// run runs the function with a watch of the given number of targets, in virtual time.
+func run(t *testing.T, targets int, test func(t *testing.T, watch *Watch, prober *prober)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		view := catalogue.New()
+		var services []catalogue.Service
+		for number := range targets {
+			name := fmt.Sprint("service-", number)
+			services = append(services, catalogue.Service{Name: name})
+			view.Register(catalogue.Target{ID: fmt.Sprint("in-", number), Service: name, Address: address(number)})
+		}
+		view.Configure(catalogue.NewConfiguration(1, nil, services, catalogue.Limits{}))
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		prober := &prober{}
+		watch := New(fixed{view.View()}, prober, func(reach.Change) {}, log, tally.NoopScope)
+		done := make(chan struct{})
+		go func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(TickPeriod):
+					watch.Tick(time.Now())
+				}
+			}
+		}()
+		test(t, watch, prober)
+		close(done)
+		time.Sleep(time.Second) // the probes in progress end
+	})
+}
+
+func address(target int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(target)}), 80)
+}
+
+func TestLost(t *testing.T) {
+	run(t, 4, func(t *testing.T, watch *Watch, prober *prober) {
+		prober.cut.Store(true)
+		watch.Sent(time.Now(), 1, 80*time.Millisecond)
+		<-watch.Lost()
+		if !watch.IsLost() || !watch.InDoubt(time.Now()) {
+			t.Error("the path is not lost although its channel is closed")
+		}
+		prober.cut.Store(false)
+		time.Sleep(time.Second)
+		select {
+		case <-watch.Lost():
+			t.Error("the channel of the lost path is still closed")
+		default:
+		}
+		if watch.IsLost() {
+			t.Error("the path is still lost")
+		}
+	})
+}
+
+func TestVerify(t *testing.T) {
+	run(t, 4, func(t *testing.T, watch *Watch, prober *prober) {
+		failedAt := time.Now()
+		if watch.Verify(failedAt) {
+			t.Error("the path is lost although targets accept connections")
+		}
+		before := prober.probes.Load()
+		if watch.Verify(failedAt) || prober.probes.Load() != before {
+			t.Error("another request that failed at the same time probes targets again")
+		}
+		time.Sleep(time.Millisecond)
+		watch.Ended(time.Now(), 1, address(1), connpool.Result{Response: &http.Response{}})
+		prober.cut.Store(true)
+		if !watch.Verify(time.Now()) || !watch.IsLost() {
+			t.Error("the path is not lost although no target accepts connections")
+		}
+	})
+}
+
+// TestConfirmRefusal guards against a lost path that looks as if targets had crashed.
+func TestConfirmRefusal(t *testing.T) {
+	t.Run("others accept connections", func(t *testing.T) {
+		run(t, 4, func(t *testing.T, watch *Watch, _ *prober) {
+			if !watch.ConfirmRefusal(time.Now(), address(0)) {
+				t.Error("the refusal is not confirmed")
+			}
+		})
+	})
+	t.Run("no other accepts one", func(t *testing.T) {
+		run(t, 4, func(t *testing.T, watch *Watch, prober *prober) {
+			prober.cut.Store(true)
+			if watch.ConfirmRefusal(time.Now(), address(0)) {
+				t.Error("the refusal is confirmed")
+			}
+		})
+	})
+	t.Run("there is no other", func(t *testing.T) {
+		run(t, 1, func(t *testing.T, watch *Watch, prober *prober) {
+			prober.cut.Store(true)
+			if !watch.ConfirmRefusal(time.Now(), address(0)) {
+				t.Error("the refusal is not confirmed")
+			}
+		})
+	})
+}
