Health of targets: forget failures and silence without a path

Cause: while an instance reaches no target, each attempt lowers its belief in the target's health, and services become saturated for it; after the path is back, it avoids all targets alike and refuses early. Each target returns to what its newest answer told, services count as not saturated, and outcomes while the path is lost say nothing.

--- a/reel/choice/health.go
+++ b/reel/choice/health.go
@@ -38,6 +38,17 @@
 	return healthChanges
 }
 
+// ForgetFailures ends what failures and silence since the newest answer of each target have told of it, because no target could be
+// reached.
+func (selector *Selector) ForgetFailures() {
+	for _, targetHealth := range selector.targets {
+		targetHealth.latencyFactor, targetHealth.failureRate = targetHealth.answeredFactor, targetHealth.answeredFailures
+		targetHealth.consecutiveFailures, targetHealth.unresponsive = 0, false
+		targetHealth.degraded = !targetHealth.healthy()
+	}
+	clear(selector.unservedRates)
+}
+
 // addHealthChange keeps the change for TakeHealthChanges, unless maxHealthChanges are kept already.
 func (selector *Selector) addHealthChange(healthChange HealthChange) {
 	if len(selector.healthChanges) < maxHealthChanges {
--- a/reel/choice/selector.go
+++ b/reel/choice/selector.go
@@ -53,6 +53,7 @@
 	Answered             Outcome = iota // the target returned a valid answer
 	Refused                             // the target did not run the request
 	Misdirected                         // another process answered at the target's address
+	Inconclusive                        // says nothing of the target, since this instance reaches none
 	ConnectionsExhausted                // the target accepts no more connections
 	Failed                              // the target was unreachable, closed the connection early or returned an error
 	Abandoned                           // this instance stopped waiting for the answer
@@ -87,6 +88,8 @@
 	lastUsed            time.Time
 	degraded            bool             // whether the last reported change was Degraded rather than Healthy
 	unresponsive        bool             // whether Unresponsive was reported and RespondsAgain not yet
+	answeredFactor      float64          // latencyFactor after the newest valid answer
+	answeredFailures    float64          // failureRate after it
 	misdirectedAt       time.Time        // when another process last answered at the target's address
 	misdirected         catalogue.Target // registration of the target at that time
 	quietUntil          time.Time        // until when the target wants no request from this instance
@@ -277,6 +280,7 @@
 		if targetHealth.latencyFactor <= slowThreshold {
 			latencyHistogram.add(waited)
 		}
+		targetHealth.answeredFactor, targetHealth.answeredFailures = targetHealth.latencyFactor, targetHealth.failureRate
 	case Misdirected:
 		targetHealth.misdirectedAt, targetHealth.misdirected = now, target
 	case Refused, Failed:
@@ -288,7 +292,7 @@
 		if median := latencyHistogram.quantile(0.5, waited); float64(waited) > targetHealth.latencyFactor*float64(max(median, minLatency)) {
 			targetHealth.observeLatency(float64(waited) / float64(max(median, minLatency)))
 		}
-	case ConnectionsExhausted:
+	case ConnectionsExhausted, Inconclusive:
 	}
 	selector.noteOutcome(target.ID, targetHealth, outcome)
 }
@@ -365,7 +369,7 @@
 func (selector *Selector) targetHealth(id string) *targetHealth {
 	health, ok := selector.targets[id]
 	if !ok {
-		health = &targetHealth{latencyFactor: 1}
+		health = &targetHealth{latencyFactor: 1, answeredFactor: 1}
 		selector.targets[id] = health
 	}
 	return health
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -236,6 +236,7 @@
 	if change.Lost {
 		front.crashes.PathLost(change.Since)
 	}
+	front.router.ForgetFailures()
 }
 
 func (front *Front) replicateMark(fingerprint quarantine.Fingerprint) {
--- a/shallotreel/ingress/router.go
+++ b/shallotreel/ingress/router.go
@@ -169,6 +169,13 @@
 	return router.estimator.SoftDeadline(now, route.Goal, router.estimator.Elapsed(route.Name, left))
 }
 
+// ForgetFailures ends what was believed of targets while none could be reached.
+func (router *Router) ForgetFailures() {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.selector.ForgetFailures()
+}
+
 // recordSent records an attempt that is about to be sent.
 func (router *Router) recordSent(now time.Time, target string, attempt choice.Attempt) {
 	router.mutex.Lock()
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -144,6 +144,9 @@
 // goroutine, usually that of the connection.
 func (run *run) handleResult(send query.Send, ended connpool.Result) {
 	answer, report, outcome := run.classify(ended)
+	if (outcome == choice.Failed || outcome == choice.Abandoned) && run.handler.path.IsLost() {
+		outcome = choice.Inconclusive
+	}
 	answer.AttemptID = send.AttemptID
 	now := time.Now()
 	run.handler.path.Ended(now, send.AttemptID, send.Pick.Target.Address, ended)
