--- a/reel/member/member.go
+++ b/reel/member/member.go
@@ -128,6 +128,16 @@
 	return Output{Sends: machine.gossip()}
 }
 
+// SetPathLost changes whether this instance reaches no target and announces it to the peers.
+func (machine *Machine) SetPathLost(_ time.Time, lost bool) Output {
+	if machine.self.PathLost == lost {
+		return Output{}
+	}
+	machine.self.PathLost = lost
+	machine.incrementVersion()
+	return Output{Sends: machine.gossip()}
+}
+
 // Receive handles a message from a peer.
 func (machine *Machine) Receive(now time.Time, message Message) Output {
 	if message.From.Name == machine.self.Name && message.From.Incarnation == machine.self.Incarnation {
--- a/reel/member/messages.go
+++ b/reel/member/messages.go
@@ -34,6 +34,11 @@
 	return state == Alive
 }
 
+// Reaches reports whether the instance accepts requests and reaches targets.
+func (member Member) Reaches() bool {
+	return member.State.Serves() && !member.PathLost
+}
+
 // Reachable reports whether an instance in the state is expected to answer messages.
 func (state State) Reachable() bool {
 	return state == Joining || state == Alive || state == Leaving
@@ -70,6 +75,7 @@
 	State       State          `msgpack:"s" json:"state"`
 	Processor   uint32         `msgpack:"k,omitempty" json:"processor,omitempty"` // share in thousandths of a core, 0 if unknown
 	Load        Load           `msgpack:"l,omitempty" json:"load,omitempty"`      // use of the processor for callers
+	PathLost    bool           `msgpack:"w,omitempty" json:"path_lost,omitempty"` // whether the instance reaches no target
 }
 
 // Newer reports whether the description supersedes the other: it compares the
--- a/reel/query/end.go
+++ b/reel/query/end.go
@@ -13,6 +13,7 @@
 // Reasons for sending no attempt to a service.
 const (
 	reasonNoTargets = "no target is registered for the service"
+	reasonSpent     = "an earlier instance has made all attempts that the route allows"
 	reasonSaturated = "most recent requests to the service found no target with free capacity in time"
 )
 
@@ -30,6 +31,8 @@
 	for _, part := range machine.parts {
 		saturatedFor, saturated := machine.router.Saturated(now, part.service)
 		switch {
+		case part.possibleRuns >= machine.maxAttempts():
+			part.skipReason, part.failed = reasonSpent, true
 		case !machine.router.HasTargets(part.service):
 			part.skipReason, part.failed = reasonNoTargets, true
 		case machine.isQuiet(now, part):
@@ -42,6 +45,9 @@
 		}
 	}
 	if usable == 0 || machine.isScatterGather() && !machine.meetsLeastShare(usable) {
+		if machine.mayHaveRun() {
+			return Finish{Code: result.Broken, Reason: "too few services are available"}, true
+		}
 		return Finish{Code: result.NoTarget, RetryAfter: retryAfter, Reason: "too few services are available"}, true
 	}
 	return Finish{}, false
@@ -99,12 +105,9 @@
 }
 
 func (machine *Machine) checkScatterGather(now time.Time) []Action {
-	answered, pending := 0, 0
+	answered, pending := machine.answered(), 0
 	for _, part := range machine.parts {
-		switch {
-		case part.answer != nil:
-			answered++
-		case !part.failed:
+		if part.answer == nil && !part.failed {
 			pending++
 		}
 	}
@@ -178,7 +181,7 @@
 
 // mayHaveRun reports whether any attempt ran, may have run or may still run.
 func (machine *Machine) mayHaveRun() bool {
-	return machine.endedMayHaveRun || len(machine.attempts) > 0
+	return machine.endedMayHaveRun || len(machine.attempts) > 0 || len(machine.plan.Spent) > 0
 }
 
 // finish ends the request; the host cancels the attempts in flight.
--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -82,7 +82,7 @@
 func New(plan Plan, router Router, nextAttemptID func() uint64) *Machine {
 	machine := &Machine{plan: plan, router: router, nextAttemptID: nextAttemptID, attempts: map[uint64]*attempt{}}
 	for _, service := range plan.Services {
-		machine.parts = append(machine.parts, &part{service: service})
+		machine.parts = append(machine.parts, &part{service: service, possibleRuns: plan.Spent[service]})
 	}
 	return machine
 }
@@ -93,7 +93,7 @@
 		return machine.finish(finish)
 	}
 	for _, part := range machine.parts {
-		if !part.failed {
+		if !part.failed && !machine.plan.Counted {
 			machine.router.CountRequest(now, part.service)
 		}
 	}
--- a/reel/query/trial.go
+++ b/reel/query/trial.go
@@ -121,14 +121,8 @@
 	if answer.Execution != MayHaveRun || !crashedAgain && !machine.isQuarantined(now) {
 		return Finish{}, false
 	}
-	answered := 0
-	for _, part := range machine.parts {
-		if part.answer != nil {
-			answered++
-		}
-	}
-	if machine.isScatterGather() && machine.meetsLeastShare(answered) {
-		return machine.mergedFinish(answered), true
+	if machine.HasEnough() {
+		return machine.mergedFinish(machine.answered()), true
 	}
 	return Finish{Code: result.Broken, Reason: reasonQuarantined}, true
 }
--- a/reel/workingset/workingset.go
+++ b/reel/workingset/workingset.go
@@ -24,9 +24,10 @@
 )
 
 // Of returns the working set of the data centre, in the order in which instances are added to it. Members of other data
-// centres and those that do not serve are left out.
+// centres and those that do not serve are left out, and those that reach no target unless no member reaches any.
 func Of(members []member.Member, dataCentre string) []member.Member {
 	var serving []member.Member
+	noneReaches := !slices.ContainsFunc(members, member.Member.Reaches)
 	load := 0.0
 	for _, candidate := range members {
 		if candidate.DataCentre != dataCentre {
@@ -35,7 +36,7 @@
 		if candidate.State != member.Dead {
 			load += candidate.Load.Use() // that of a failing or leaving instance moves to others
 		}
-		if candidate.State.Serves() {
+		if candidate.Reaches() || candidate.State.Serves() && noneReaches {
 			serving = append(serving, candidate)
 		}
 	}
--- a/reel/workingset/workingset_test.go
+++ b/reel/workingset/workingset_test.go
@@ -171,3 +171,22 @@
 
 // rateLimit returns how many cores the number of instances of .4 cores use at most.
 func rateLimit(instances int) float64 { return 0.4 * float64(instances) }
+
+// TestMembersWithoutPath guards against callers that are sent to instances that reach no target, and against an empty working set.
+func TestMembersWithoutPath(t *testing.T) {
+	members := fleet(repeat(400, 4)...)
+	members[1].PathLost = true
+	if set := Of(members, "a"); len(set) != 3 || Contains(set, members[1].Name) {
+		t.Errorf("the working set is %v, want all but the member without a path", set)
+	}
+	for i := range members {
+		members[i].PathLost = true
+	}
+	if set := Of(members, "a"); len(set) == 0 {
+		t.Error("the working set is empty while no member reaches a target")
+	}
+	members = append(members, member.Member{Name: "other", DataCentre: "b", State: member.Alive})
+	if set := Of(members, "a"); len(set) != 0 {
+		t.Errorf("the working set is %v while only another data centre reaches targets", set)
+	}
+}
--- a/shallotreel/cataloguesync/cataloguesync.go
+++ b/shallotreel/cataloguesync/cataloguesync.go
@@ -1,7 +1,7 @@
 package cataloguesync
 
 import (
-	"net"
+	"context"
 	"net/netip"
 	"net/rpc"
 	"time"
@@ -10,6 +10,7 @@
 
 	"shallotreel.example/reel/catalogue"
 	"shallotreel.example/reel/cursor"
+	"shallotreel.example/shallotreel/peerrpc"
 )
 
 // ErrTimeout is returned by Client.Fetch if the peer does not answer in time.
@@ -56,37 +57,11 @@
 	return nil
 }
 
-// Server serves the queries of peers over TCP.
-type Server struct{ listener net.Listener }
-
-// Serve starts a server at the address. It returns an error if the address is not
-// available.
-func Serve(address netip.AddrPort, source Source) (*Server, error) {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for catalogue queries")
-	}
-	server := rpc.NewServer()
-	if err := server.RegisterName("Copies", &Service{source}); err != nil {
-		return nil, errors.Wrap(err, "register RPC service")
-	}
-	go accept(listener, server)
-	return &Server{listener}, nil
+// NewService returns the net/rpc service that answers queries from the source.
+func NewService(source Source) peerrpc.Service {
+	return peerrpc.Service{Name: "Copies", New: func(context.Context) any { return &Service{source} }}
 }
 
-func accept(listener net.Listener, server *rpc.Server) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return // the listener is closed
-		}
-		go server.ServeConn(conn)
-	}
-}
-
-// Close stops accepting connections; open ones continue.
-func (server *Server) Close() { server.listener.Close() }
-
 // Client queries one peer at a time and reuses the connection to it. Its zero value is
 // ready to use. It is not safe for concurrent use.
 type Client struct {
@@ -102,11 +77,11 @@
 		client.Close()
 	}
 	if client.client == nil {
-		conn, err := net.DialTimeout("tcp", peer.String(), timeout)
+		connected, err := peerrpc.Dial(peer, timeout, timeout)
 		if err != nil {
-			return Reply{}, errors.Wrap(err, "connect to peer")
+			return Reply{}, err
 		}
-		client.peer, client.client = peer, rpc.NewClient(conn)
+		client.peer, client.client = peer, connected
 	}
 	var reply Reply
 	call := client.client.Go("Copies.Since", query, &reply, make(chan *rpc.Call, 1))
--- a/shallotreel/cataloguesync/cataloguesync_test.go
+++ b/shallotreel/cataloguesync/cataloguesync_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shallotreel.example/reel/catalogue"
+	"shallotreel.example/shallotreel/peerrpc"
 )
 
 type source struct{ delay time.Duration }
@@ -27,7 +28,7 @@
 	}
 	address := netip.MustParseAddrPort(listener.Addr().String())
 	listener.Close()
-	server, err := Serve(address, source)
+	server, err := peerrpc.Serve(address, NewService(source))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -161,6 +161,13 @@
 	}
 }
 
+// MayBeSent reports whether any part of the call's request may have reached the target already.
+func (pool *Pool) MayBeSent(call *Call) bool {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return call.connection != nil
+}
+
 // takeIdle assigns the most recently used idle connection to the call. It returns nil if there is none that may be
 // reused.
 func (pool *Pool) takeIdle(call *Call) *connection {
--- a/shallotreel/feed/feed_test.go
+++ b/shallotreel/feed/feed_test.go
@@ -18,6 +18,7 @@
 	"shallotreel.example/platform/storetest"
 	"shallotreel.example/reel/cursor"
 	"shallotreel.example/shallotreel/cataloguesync"
+	"shallotreel.example/shallotreel/peerrpc"
 )
 
 const waitForTimeout = 20 * time.Second // of waitFor; it only bounds a failing test
@@ -58,7 +59,7 @@
 	feed := New(ctx, system, Config{Store: platform.NewStore(store, time.Second), Peers: peers,
 		Incarnation: lastIncarnation.Add(1), Log: log, OnReady: func() {}})
 	address := freeAddress(t)
-	server, err := cataloguesync.Serve(address, feed)
+	server, err := peerrpc.Serve(address, cataloguesync.NewService(feed))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -34,7 +34,9 @@
 	"shallotreel.example/shallotreel/crashwatch"
 	"shallotreel.example/shallotreel/feed"
 	"shallotreel.example/shallotreel/ingress"
+	"shallotreel.example/shallotreel/peerrpc"
 	"shallotreel.example/shallotreel/reachwatch"
+	"shallotreel.example/shallotreel/relay"
 	"shallotreel.example/shallotreel/roster"
 	"shallotreel.example/shallotreel/settings"
 )
@@ -52,6 +54,7 @@
 	addressTTL        = 5 * time.Second        // for which callers keep an address, unless the settings limit it further
 	maxAddresses      = 64                     // in one answer to an address query
 	staleTTLFactor    = 3                      // callers may keep using an address for this multiple of addressTTL
+	relayedPollPeriod = 20 * time.Millisecond  // between two checks whether requests of other instances have ended
 	closeMargin       = 500 * time.Millisecond // at the end of the grace period, reserved for closing the components
 )
 
@@ -64,7 +67,8 @@
 	system       *actor.ActorSystem
 	feed         *feed.Feed
 	roster       *roster.Roster
-	syncServer   *cataloguesync.Server
+	peerServer   *peerrpc.Server
+	helpers      *relay.Client
 	router       *ingress.Router
 	pool         *connpool.Pool
 	handler      *ingress.Handler
@@ -128,9 +132,10 @@
 	tracker := &quarantine.Tracker{}
 	front.path = reachwatch.New(front, front.pool, front.pathChanged, front.log, front.scope)
 	front.crashes = crashwatch.New(tracker, front, front.replicateMark, front.log, front.scope, crashwatch.WithSignsOfLife(front.path.AliveSince))
+	front.helpers = relay.NewClient(front.self)
 	var err error
 	front.roster, err = roster.Listen(front.ctx, front.system, roster.Config{Self: front.self, Seeds: config.Seeds,
-		Log: front.log, Random: random(), OnChange: front.router.SetMembers, Tracker: tracker, OnMark: front.logMark,
+		Log: front.log, Random: random(), OnChange: front.setMembers, Tracker: tracker, OnMark: front.logMark,
 		OnMarksKnown: front.markMarksKnown})
 	if err != nil {
 		return err
@@ -138,10 +143,11 @@
 	front.feed = feed.New(front.ctx, front.system, feed.Config{Store: platform.NewStore(config.StoreAddress, storeDialTimeout),
 		Peers: front.roster, Incarnation: front.self.Incarnation, Log: front.log, OnReady: front.markConfigured,
 		OnTargetChange: func(change catalogue.Change) { front.crashes.TargetChanged(time.Now(), change) }})
-	if front.syncServer, err = cataloguesync.Serve(config.PeerAddress, front.feed); err != nil {
+	front.handler = ingress.New(front.feed, front.router, front.pool, front.crashes, front.path, front.helpers, newRecorder(front.log, front.scope))
+	relayServer := relay.NewServer(front.handler, front.log)
+	if front.peerServer, err = peerrpc.Serve(config.PeerAddress, cataloguesync.NewService(front.feed), relayServer.Service()); err != nil {
 		return err
 	}
-	front.handler = ingress.New(front.feed, front.router, front.pool, front.crashes, front.path, newRecorder(front.log, front.scope))
 	front.callerServer, err = front.serve(config.CallerAddress, front.handler)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
@@ -237,6 +243,13 @@
 		front.crashes.PathLost(change.Since)
 	}
 	front.router.ForgetFailures()
+	front.roster.SetPathLost(change.Lost)
+}
+
+// setMembers is called when the members of the fleet have changed.
+func (front *Front) setMembers(members []member.Member) {
+	front.router.SetMembers(members)
+	front.helpers.SetMembers(members)
 }
 
 func (front *Front) replicateMark(fingerprint quarantine.Fingerprint) {
@@ -312,18 +325,34 @@
 	if err := front.callerServer.Shutdown(ctx); err != nil {
 		front.log.WithError(err).WithField("running", front.handler.Running()).Warn("requests were still running at the end of the grace period")
 	}
+	front.handler.StopRelaying()
+	front.awaitRelayed(ctx)
 	front.close()
 	front.log.Info("stopped")
 }
 
+// awaitRelayed waits until no request of another instance is running, or until the context ends.
+func (front *Front) awaitRelayed(ctx context.Context) {
+	ticker := time.NewTicker(relayedPollPeriod)
+	defer ticker.Stop()
+	for front.handler.Running() > 0 {
+		select {
+		case <-ctx.Done():
+			front.log.WithField("running", front.handler.Running()).Warn("requests of other instances were still running at the end of the grace period")
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // close ends all components at once, without waiting for running requests.
 func (front *Front) close() {
 	front.cancel()
 	for _, server := range front.servers {
 		server.Close()
 	}
-	if front.syncServer != nil {
-		front.syncServer.Close()
+	if front.peerServer != nil {
+		front.peerServer.Close()
 	}
 	if front.roster != nil {
 		front.roster.Close()
--- a/shallotreel/front/recorder.go
+++ b/shallotreel/front/recorder.go
@@ -27,6 +27,8 @@
 	latency       tally.Histogram
 	dropped       tally.Counter
 	elsewhere     tally.Counter // attempts for which a target was left out because of its limit
+	handedOver    tally.Counter // requests that other instances were asked to serve
+	relayed       tally.Counter // requests that were served for other instances
 	unavailable   tally.Counter // parts of requests for which no target takes requests now, as these asked
 	mutex         sync.Mutex
 	codes         map[result.Code]tally.Counter
@@ -38,7 +40,7 @@
 func newRecorder(log logrus.FieldLogger, scope tally.Scope) *recorder {
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.5, 18)
 	return &recorder{log: log, scope: scope, latency: scope.Histogram("request_time", buckets),
-		dropped:   scope.Counter("request_lines_dropped"),
+		dropped: scope.Counter("request_lines_dropped"), handedOver: scope.Counter("requests_handed_over"), relayed: scope.Counter("requests_for_others"),
 		elsewhere: scope.Counter("attempts_past_limit"), unavailable: scope.Counter("parts_unavailable"), codes: map[result.Code]tally.Counter{}}
 }
 
@@ -58,6 +60,12 @@
 	if record.Suspect {
 		fields["suspect"] = true
 	}
+	if record.Origin != "" {
+		fields["origin"] = record.Origin
+	}
+	if record.HandedOver != "" {
+		fields["handed_over"], fields["helpers"] = record.HandedOver, record.Helpers
+	}
 	if len(record.Gaps) > 0 {
 		fields["gaps"] = record.Gaps
 	}
@@ -91,7 +99,14 @@
 		recorder.codes[record.Code] = counter
 	}
 	counter.Inc(1)
-	if record.Code == result.OK && record.Took <= record.Goal && !record.Suspect {
+	if record.HandedOver != "" {
+		recorder.handedOver.Inc(1)
+	}
+	if record.Origin != "" {
+		recorder.relayed.Inc(1)
+	}
+	isOwn := record.HandedOver == "" && record.Origin == ""
+	if record.Code == result.OK && record.Took <= record.Goal && !record.Suspect && isOwn {
 		recorder.normal++
 		return recorder.normal%normalLineInterval == 0
 	}
--- a/shallotreel/ingress/handler.go
+++ b/shallotreel/ingress/handler.go
@@ -15,6 +15,7 @@
 	"shallotreel.example/shallotreel/connpool"
 	"shallotreel.example/shallotreel/crashwatch"
 	"shallotreel.example/shallotreel/reachwatch"
+	"shallotreel.example/shallotreel/relay"
 )
 
 const (
@@ -31,11 +32,14 @@
 	pool               *connpool.Pool
 	crashes            *crashwatch.Watch
 	path               *reachwatch.Watch
+	helpers            Helpers
 	recorder           Recorder
 	keepAlivesDisabled atomic.Bool
 	isOpen             atomic.Bool
 	running            atomic.Int64
 	requests           atomic.Int64
+	relaysRefused      atomic.Bool  // whether no more requests of other instances are served
+	helpersVersion     versionFloor // newest configuration by which helpers have served callers of this instance
 }
 
 // Registry provides the newest view of routes and targets, and learns what targets say of themselves.
@@ -64,6 +68,9 @@
 	Attempts        []Attempt
 	CatalogueSerial uint64        // serial of the catalogue view at the start of the request
 	CallerTimeout   time.Duration // time that the caller waits, 0 if it stated none
+	Origin          string        // instance that handed the request over, empty for a caller's own
+	HandedOver      string        // why the request was handed over to other instances, empty if it was not
+	Helpers         []relay.Attempt
 }
 
 // Attempt describes one attempt of a request at a target, for the log.
@@ -81,8 +88,8 @@
 }
 
 // New returns a handler that takes its view of routes and targets from the catalogue.
-func New(catalogue Registry, router *Router, pool *connpool.Pool, crashes *crashwatch.Watch, path *reachwatch.Watch, recorder Recorder) *Handler {
-	return &Handler{catalogue: catalogue, router: router, pool: pool, crashes: crashes, path: path, recorder: recorder}
+func New(catalogue Registry, router *Router, pool *connpool.Pool, crashes *crashwatch.Watch, path *reachwatch.Watch, helpers Helpers, recorder Recorder) *Handler {
+	return &Handler{catalogue: catalogue, router: router, pool: pool, crashes: crashes, path: path, helpers: helpers, recorder: recorder}
 }
 
 // Open lets the handler serve requests. Before, it refuses them as an instance that is starting.
@@ -126,19 +133,29 @@
 		handler.refuse(writer, start, record, query.Finish{Code: code})
 		return
 	}
-	record.Fingerprint = fingerprintOf(request, requestHead, body)
-	run := &run{handler: handler, start: start, record: record, plan: handler.plan(start, requestHead, route),
-		outbound: platform.NewOutboundRequest(request, requestHead, body), calls: map[uint64]*connpool.Call{}}
-	run.plan.Services = handler.router.SelectServices(route)
-	run.plan.Fingerprint = record.Fingerprint
-	run.record.Parts = len(run.plan.Services)
-	finish := run.run(request.Context())
-	if finish.Code == result.Quarantined {
-		handler.crashes.RecordRefusal(time.Now(), record.ID, record.Fingerprint)
-	}
+	run := handler.newRun(start, incoming{request, requestHead, body}, handler.plan(start, requestHead, route), record)
+	finish := run.serve(request.Context(), view)
 	handler.write(writer, finish)
-	run.record.Code, run.record.Reason, run.record.Took = finish.Code, finish.Reason, time.Since(start)
-	handler.recorder.Record(run.record)
+	run.recordEnd(finish)
+}
+
+// incoming is a request as the caller sent it.
+type incoming struct {
+	*http.Request
+	head platform.RequestHead
+	body []byte
+}
+
+// newRun returns the run of a request by the plan.
+func (handler *Handler) newRun(start time.Time, request incoming, plan query.Plan, record Record) *run {
+	record.Fingerprint = fingerprintOf(request.Request, request.head, request.body)
+	if plan.Services == nil {
+		plan.Services = handler.router.SelectServices(plan.Route)
+	}
+	plan.Fingerprint = record.Fingerprint
+	record.Route, record.Goal, record.Parts = plan.Route.Name, plan.Route.Goal, len(plan.Services)
+	return &run{handler: handler, start: start, record: record, plan: plan, request: request,
+		outbound: platform.NewOutboundRequest(request.Request, request.head, request.body), calls: map[uint64]*connpool.Call{}}
 }
 
 // plan returns the plan of a request, whose deadline is the lesser of the caller's timeout and the route's.
--- a/shallotreel/ingress/handler_test.go
+++ b/shallotreel/ingress/handler_test.go
@@ -87,7 +87,7 @@
 	log.SetOutput(io.Discard)
 	crashes := crashwatch.New(fixture.tracker, view, func(quarantine.Fingerprint) {}, log, tally.NoopScope)
 	path := reachwatch.New(view, pool, func(reach.Change) {}, log, tally.NoopScope)
-	fixture.handler = New(view, router, pool, crashes, path, fixture.records)
+	fixture.handler = New(view, router, pool, crashes, path, nil, fixture.records)
 	fixture.handler.Open()
 }
 
--- /dev/null
+++ b/shallotreel/ingress/handover.go
@@ -0,0 +1,297 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"shallotreel.example/platform"
+	"shallotreel.example/reel/catalogue"
+	"shallotreel.example/reel/extra"
+	"shallotreel.example/reel/query"
+	"shallotreel.example/reel/result"
+	"shallotreel.example/shallotreel/connpool"
+	"shallotreel.example/shallotreel/relay"
+)
+
+const (
+	// versionMemory is the time for which the configuration of helpers is remembered. Within it, this instance learns of the
+	// configuration too.
+	versionMemory = 10 * time.Second
+	// minPathRetryAfter and maxPathRetryAfter bound the Retry-After while no instance reaches a target. In between it is the time for
+	// which this has lasted, since it is likely to last about as long again.
+	minPathRetryAfter = 500 * time.Millisecond
+	maxPathRetryAfter = 3 * time.Second
+	// minGoalLeft divides the latency goal; with less than that part of it left, the goal counts from now.
+	minGoalLeft = 4
+)
+
+// Reasons for handing a request over.
+const (
+	reasonPathLost     = "this instance reaches no target"
+	reasonPathBroke    = "this instance lost its path to the targets meanwhile"
+	reasonOutdated     = "helpers have served by a newer configuration"
+	reasonNoHelper     = "this instance reaches no target, and no other instance can help"
+	reasonHelperLost   = "the helper gave no answer"
+	reasonUnaffordable = "the budget for retries and hedges does not allow to go on at another instance"
+)
+
+// Helpers serves requests by way of other instances.
+type Helpers interface {
+	Serve(ctx context.Context, request relay.Request) relay.Outcome
+}
+
+// versionFloor remembers the newest version of a configuration for versionMemory. It is safe for concurrent use.
+type versionFloor struct {
+	mutex   sync.Mutex
+	version uint64
+	at      time.Time
+}
+
+func (floor *versionFloor) raise(now time.Time, version uint64) {
+	floor.mutex.Lock()
+	defer floor.mutex.Unlock()
+	if version >= floor.version || now.Sub(floor.at) >= versionMemory {
+		floor.version, floor.at = version, now
+	}
+}
+
+// get returns the version, or 0 if none is remembered.
+func (floor *versionFloor) get(now time.Time) uint64 {
+	floor.mutex.Lock()
+	defer floor.mutex.Unlock()
+	if now.Sub(floor.at) >= versionMemory {
+		return 0
+	}
+	return floor.version
+}
+
+// serve serves the request of a caller, at the targets or by way of another instance.
+func (run *run) serve(ctx context.Context, view *catalogue.View) query.Finish {
+	reason := run.handler.handOverReason(run.start, view)
+	if reason == "" {
+		return run.run(ctx)
+	}
+	return run.handOver(ctx, reason, nil)
+}
+
+// handOverReason returns why requests must be served by way of another instance, or "".
+func (handler *Handler) handOverReason(now time.Time, view *catalogue.View) string {
+	switch {
+	case handler.path.IsLost():
+		return reasonPathLost
+	case view.Configuration.Version < handler.helpersVersion.get(now):
+		return reasonOutdated
+	}
+	return ""
+}
+
+// leavePath ends the attempts of the request because the path to the targets is lost, and has it served by way of another instance.
+// It returns nil if the request goes on here: enough shards have answered, or it must not be repeated and may have been sent.
+func (run *run) leavePath(ctx context.Context) *query.Finish {
+	if run.machine.HasEnough() || !run.plan.Route.Idempotent && run.anySent() {
+		return nil
+	}
+	spent := run.withdraw()
+	if run.isRelayed {
+		run.pathLost = true
+		return &query.Finish{Code: unservedCode(spent), Reason: reasonPathBroke, RetryAfter: minPathRetryAfter}
+	}
+	if !run.plan.Route.Idempotent && len(spent) > 0 {
+		return &query.Finish{Code: result.Broken, Reason: reasonPathBroke}
+	}
+	now := time.Now()
+	for _, part := range spent {
+		if part.Arrived && !run.handler.router.SpendExtra(now, part.Service, extra.Retry) {
+			return &query.Finish{Code: result.Broken, Reason: reasonUnaffordable}
+		}
+	}
+	finish := run.handOver(ctx, reasonPathBroke, spent)
+	return &finish
+}
+
+// failedWithoutPath reports whether the request failed, with attempts that broke or could not be sent, while this instance reaches no
+// target.
+func (run *run) failedWithoutPath(finish *query.Finish) bool {
+	switch finish.Code {
+	case result.NoTarget, result.Broken, result.Uncovered:
+	default:
+		return false
+	}
+	broke := slices.ContainsFunc(run.record.Attempts, func(attempt Attempt) bool { return attempt.Cause != "" && attempt.Status == 0 })
+	return broke && run.record.HandedOver == "" && !run.pathLost && run.handler.path.Verify(time.Now())
+}
+
+// unservedCode returns the code of a request that is given up after the attempts.
+func unservedCode(spent []query.Spent) result.Code {
+	if len(spent) > 0 {
+		return result.Broken
+	}
+	return result.NoTarget
+}
+
+// anySent reports whether any byte of an open attempt may have been sent.
+func (run *run) anySent() bool {
+	for _, call := range run.calls {
+		if run.handler.pool.MayBeSent(call) {
+			return true
+		}
+	}
+	return false
+}
+
+// withdraw cancels the open attempts and returns what may have been sent.
+func (run *run) withdraw() []query.Spent {
+	open := run.calls
+	run.calls = map[uint64]*connpool.Call{}
+	for _, call := range open {
+		run.handler.pool.Cancel(call)
+	}
+	unsent := map[uint64]bool{}
+	for ended := true; ended; {
+		select {
+		case answer := <-run.answers:
+			unsent[answer.AttemptID] = !answer.Sent
+			run.recordAnswer(time.Now(), answer)
+		default:
+			ended = false
+		}
+	}
+	return run.machine.Withdraw(func(attemptID uint64) bool { return !unsent[attemptID] })
+}
+
+// handOver has the request served by way of another instance, after what was spent on it here. The request was counted here if
+// anything was spent.
+func (run *run) handOver(ctx context.Context, reason string, spent []query.Spent) query.Finish {
+	now := time.Now()
+	version := max(run.record.Version, run.handler.helpersVersion.get(now))
+	request := relay.Request{Origin: run.handler.router.home.Name, Method: run.request.Method, Host: run.request.Host, URI: run.request.head.RequestURI,
+		Header: run.request.Header, Body: run.request.body, Left: run.plan.Deadline.Sub(now), GoalLeft: run.plan.SoftDeadline.Sub(now),
+		Version: version, Counted: run.machine != nil, Spent: map[string]int{}}
+	for _, part := range spent {
+		if part.Runs > 0 {
+			request.Spent[part.Service] = part.Runs
+		}
+	}
+	outcome := run.handler.helpers.Serve(ctx, request)
+	run.record.HandedOver, run.record.Helpers = reason, outcome.Attempts
+	switch {
+	case ctx.Err() != nil:
+		return query.Finish{Code: result.Canceled, Reason: reasonDisconnected}
+	case outcome.Unknown && !time.Now().Before(run.plan.Deadline):
+		return query.Finish{Code: result.DeadlineExceeded, Reason: reasonHelperLost}
+	case outcome.Unknown:
+		return query.Finish{Code: result.Broken, Reason: reasonHelperLost}
+	case !outcome.Answered:
+		return query.Finish{Code: unservedCode(spent), Reason: reasonNoHelper, RetryAfter: run.handler.pathRetryAfter()}
+	}
+	run.handler.helpersVersion.raise(time.Now(), outcome.Reply.Version)
+	finish := finishOf(outcome.Reply)
+	if len(spent) > 0 && statusOf(finish.Code) == http.StatusServiceUnavailable {
+		finish.Code = result.Broken // the helper has sent nothing, but this instance may have
+	}
+	return finish
+}
+
+// pathRetryAfter returns when callers should come back while no instance serves them.
+func (handler *Handler) pathRetryAfter() time.Duration {
+	return min(max(handler.path.LostFor(time.Now()), minPathRetryAfter), maxPathRetryAfter)
+}
+
+// finishOf returns the end of a request by the reply of a helper.
+func finishOf(reply relay.Reply) query.Finish {
+	finish := query.Finish{Code: reply.Code, Reason: reply.Reason, RetryAfter: reply.RetryAfter, Signatures: reply.Signatures,
+		Missing: reply.Missing, Body: reply.Body}
+	if reply.Status != 0 {
+		finish.Answer = &query.Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body}
+	}
+	return finish
+}
+
+// replyOf returns the reply of this instance as a helper.
+func (run *run) replyOf(finish query.Finish) relay.Reply {
+	reply := relay.Reply{Code: finish.Code, Reason: finish.Reason, RetryAfter: finish.RetryAfter, Signatures: finish.Signatures,
+		Missing: finish.Missing, Body: finish.Body, Version: run.record.Version, PathLost: run.pathLost, Spent: run.machine.Spent()}
+	if finish.Answer != nil {
+		reply.Status, reply.Header, reply.Body = finish.Answer.Status, finish.Answer.Header, finish.Answer.Body
+	}
+	return reply
+}
+
+// StopRelaying makes the handler refuse requests of other instances from now on.
+func (handler *Handler) StopRelaying() { handler.relaysRefused.Store(true) }
+
+// ServeRelayed serves a request that another instance has handed over. It never hands it on.
+func (handler *Handler) ServeRelayed(ctx context.Context, relayed relay.Request) relay.Reply {
+	start := time.Now()
+	handler.running.Add(1)
+	defer handler.running.Add(-1)
+	view := handler.catalogue.View()
+	if refusal := handler.refusalOf(relayed, view); refusal != "" {
+		return relay.Reply{Refusal: refusal}
+	}
+	handler.requests.Add(1)
+	request := requestOf(relayed)
+	head := platform.ParseRequestHead(request)
+	record := Record{ID: head.ID, CatalogueSerial: view.Serial, CallerTimeout: head.Timeout, Version: view.Configuration.Version, Origin: relayed.Origin}
+	route, ok := view.Configuration.FindRoute(head.Host, head.Path())
+	if !ok {
+		record.Code = result.UnknownRoute
+		handler.recorder.Record(record)
+		return relay.Reply{Code: result.UnknownRoute, Version: record.Version, Spent: relayed.Spent}
+	}
+	goalLeft := relayed.GoalLeft
+	if goalLeft < route.Goal/minGoalLeft {
+		goalLeft = route.Goal
+	}
+	plan := query.Plan{Route: route, Start: start, SoftDeadline: start.Add(goalLeft), Deadline: start.Add(relayed.Left),
+		Spent: relayed.Spent, Counted: relayed.Counted, Services: spentServices(route, relayed.Spent)}
+	run := handler.newRun(start, incoming{request, head, relayed.Body}, plan, record)
+	run.isRelayed = true
+	finish := run.run(ctx)
+	run.recordEnd(finish)
+	return run.replyOf(finish)
+}
+
+// spentServices returns the service of a weighted route of which attempts were spent, or nil if there is none.
+func spentServices(route *catalogue.Route, spent map[string]int) []string {
+	for _, weight := range route.Weighted {
+		if spent[weight.Service] > 0 {
+			return []string{weight.Service}
+		}
+	}
+	return nil
+}
+
+// refusalOf returns why this instance does not serve the request of another one, or "".
+func (handler *Handler) refusalOf(relayed relay.Request, view *catalogue.View) string {
+	switch {
+	case handler.relaysRefused.Load():
+		return relay.RefusedStopping
+	case view.Configuration == nil || !handler.isOpen.Load():
+		return relay.RefusedNotReady
+	case handler.path.InDoubt(time.Now()):
+		return relay.RefusedNoPath
+	case view.Configuration.Version < relayed.Version:
+		return relay.RefusedOutdated
+	}
+	return ""
+}
+
+// requestOf returns the caller's request that was handed over.
+func requestOf(relayed relay.Request) *http.Request {
+	header := relayed.Header
+	if header == nil {
+		header = http.Header{} // an empty one is not transmitted
+	}
+	return &http.Request{Method: relayed.Method, Host: relayed.Host, RequestURI: relayed.URI, URL: &url.URL{Path: relayed.URI}, Header: header}
+}
+
+// recordEnd completes the record of the request.
+func (run *run) recordEnd(finish query.Finish) {
+	run.record.Code, run.record.Reason, run.record.Took = finish.Code, finish.Reason, time.Since(run.start)
+	run.handler.recorder.Record(run.record)
+}
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -34,6 +34,7 @@
 type run struct {
 	handler        *Handler
 	start          time.Time
+	request        incoming
 	plan           query.Plan
 	outbound       *platform.OutboundRequest
 	record         Record
@@ -43,8 +44,12 @@
 	attemptIndexes map[uint64]int // index in record.Attempts by attempt id
 	answered       atomic.Bool    // whether any target has run the request
 	wave           uint64         // identifies the first attempts; those of later generations follow
+	isRelayed      bool           // whether another instance has handed the request over
+	pathLost       bool           // whether a relayed request ended because this instance lost its path
 }
 
+const reasonDisconnected = "the caller disconnected"
+
 // decisions joins what the machine of a request asks for.
 type decisions struct {
 	*Router
@@ -62,10 +67,18 @@
 	if finish == nil {
 		finish = run.wait(ctx)
 	}
-	if finish.Code != result.OK && finish.Code != result.Canceled && finish.Code != result.Quarantined {
+	if run.failedWithoutPath(finish) {
+		if served := run.leavePath(ctx); served != nil {
+			finish = served
+		}
+	}
+	if finish.Code != result.OK && finish.Code != result.Canceled && finish.Code != result.Quarantined && run.record.HandedOver == "" {
 		run.record.Gaps = run.machine.Gaps(time.Now())
 	}
-	if finish.Code == result.OK {
+	if finish.Code == result.Quarantined && run.record.HandedOver == "" {
+		run.handler.crashes.RecordRefusal(time.Now(), run.record.ID, run.record.Fingerprint)
+	}
+	if finish.Code == result.OK && run.record.HandedOver == "" {
 		run.handler.crashes.Completed(time.Now(), run.plan.Fingerprint)
 	}
 	run.record.Suspect = run.machine.Suspect()
@@ -77,6 +90,7 @@
 func (run *run) wait(ctx context.Context) *query.Finish {
 	timer := time.NewTimer(time.Until(run.machine.NextWake(time.Now())))
 	defer timer.Stop()
+	lost := run.handler.path.Lost()
 	for {
 		var actions []query.Action
 		select {
@@ -86,9 +100,14 @@
 			actions, _ = run.machine.HandleAnswer(now, answer)
 		case <-timer.C:
 			actions = run.machine.Wake(time.Now())
+		case <-lost:
+			if finish := run.leavePath(ctx); finish != nil {
+				return finish
+			}
+			lost = nil
 		case <-ctx.Done():
 			run.machine.Cancel()
-			return &query.Finish{Code: result.Canceled, Reason: "the caller disconnected"}
+			return &query.Finish{Code: result.Canceled, Reason: reasonDisconnected}
 		}
 		now := time.Now()
 		if finish := run.perform(now, actions); finish != nil {
--- /dev/null
+++ b/shallotreel/peerrpc/peerrpc.go
@@ -0,0 +1,117 @@
+package peerrpc
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// serverWriteTimeout is the time within which a peer must take a part of a reply.
+const serverWriteTimeout = 5 * time.Second
+
+// Service is a net/rpc service for peers.
+type Service struct {
+	Name string
+	// New returns the receiver of the calls on one connection; the context ends when the peer disconnects.
+	New func(ctx context.Context) any
+}
+
+// Server accepts connections of peers.
+type Server struct {
+	listener net.Listener
+	services []Service
+}
+
+// Serve starts a server of the services at the address. It returns an error if the address is not available or a service cannot
+// be registered.
+func Serve(address netip.AddrPort, services ...Service) (*Server, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for calls of peers")
+	}
+	server := &Server{listener, services}
+	if _, err := server.register(context.Background()); err != nil {
+		listener.Close()
+		return nil, err
+	}
+	go server.accept()
+	return server, nil
+}
+
+// register returns an RPC server with the services of one connection.
+func (server *Server) register(ctx context.Context) (*rpc.Server, error) {
+	registered := rpc.NewServer()
+	for _, service := range server.services {
+		if err := registered.RegisterName(service.Name, service.New(ctx)); err != nil {
+			return nil, errors.Wrapf(err, "register RPC service %s", service.Name)
+		}
+	}
+	return registered, nil
+}
+
+func (server *Server) accept() {
+	for {
+		conn, err := server.listener.Accept()
+		if err != nil {
+			return // the listener is closed
+		}
+		go server.serveConn(conn)
+	}
+}
+
+func (server *Server) serveConn(conn net.Conn) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	registered, err := server.register(ctx)
+	if err != nil {
+		conn.Close() // not reached: the services were registered at the start
+		return
+	}
+	registered.ServeConn(peerConn{conn, serverWriteTimeout, cancel})
+}
+
+// Close stops accepting connections; open ones continue.
+func (server *Server) Close() { server.listener.Close() }
+
+// Dial connects to a peer and returns a client for its services. A call whose request the peer does not take within the
+// write timeout fails, and so do all others on the connection.
+func Dial(address netip.AddrPort, timeout, writeTimeout time.Duration) (*rpc.Client, error) {
+	conn, err := net.DialTimeout("tcp", address.String(), timeout)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to peer")
+	}
+	return rpc.NewClient(peerConn{conn, writeTimeout, func() {}}), nil
+}
+
+// peerConn is a connection that closes when the peer does not read, and cancels a context once the peer has disconnected, while
+// calls of the peer may still run.
+type peerConn struct {
+	net.Conn
+	writeTimeout time.Duration
+	cancel       context.CancelFunc
+}
+
+// Write implements io.Writer.
+func (conn peerConn) Write(data []byte) (int, error) {
+	if err := conn.SetWriteDeadline(time.Now().Add(conn.writeTimeout)); err != nil {
+		return 0, err
+	}
+	size, err := conn.Conn.Write(data)
+	if err != nil {
+		conn.Close() // a part of a message may have been sent
+	}
+	return size, err
+}
+
+// Read implements io.Reader.
+func (conn peerConn) Read(buffer []byte) (int, error) {
+	size, err := conn.Conn.Read(buffer)
+	if err != nil {
+		conn.cancel()
+	}
+	return size, err
+}
--- /dev/null
+++ b/shallotreel/relay/messages.go
@@ -0,0 +1,52 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"shallotreel.example/reel/result"
+)
+
+// ServiceName is the name of the net/rpc service.
+const ServiceName = "Relay"
+
+// Request is a caller's request that another instance is asked to serve.
+type Request struct {
+	Call     uint64 // identifies the call on its connection
+	Origin   string // name of the instance that the caller is connected to
+	Method   string
+	Host     string
+	URI      string // path and query as the caller sent them
+	Header   http.Header
+	Body     []byte
+	Left     time.Duration  // until the answer must be sent back
+	GoalLeft time.Duration  // until the answer must be sent back to meet the latency goal
+	Version  uint64         // newest configuration by which the origin's callers were served; an older one must not be used
+	Counted  bool           // whether the origin has counted the request for the budgets of extra attempts
+	Spent    map[string]int // attempts that may have reached a target, by service; they count against the route's limit
+}
+
+// Reply is the answer to a Request.
+type Reply struct {
+	Refusal    string // why the helper did nothing at all; empty if it served the request, with success or not
+	PathLost   bool   // whether the helper lost its own path meanwhile, so that another may go on with the attempts left
+	Code       result.Code
+	Reason     string
+	RetryAfter time.Duration
+	Status     int // of the target's response, 0 without one to pass on
+	Header     http.Header
+	Body       []byte
+	Signatures []string // of a merged answer
+	Missing    int
+	Version    uint64         // of the configuration that was used
+	Spent      map[string]int // like that of the Request, with the attempts of the helper
+}
+
+// Reasons of a Refusal.
+const (
+	RefusedNotReady = "the helper is not ready"
+	RefusedStopping = "the helper is stopping"
+	RefusedNoPath   = "the helper may reach no target either"
+	RefusedOutdated = "the helper has an older configuration"
+	RefusedBusy     = "the helper serves too many requests of others"
+)
--- a/shallotreel/roster/roster.go
+++ b/shallotreel/roster/roster.go
@@ -55,6 +55,7 @@
 	leave    struct{}
 	setSeeds struct{ seeds []netip.AddrPort }
 	setLoad  struct{ load member.Load }
+	setPath  struct{ lost bool }
 	newMark  struct{ fingerprint quarantine.Fingerprint }
 )
 
@@ -136,6 +137,9 @@
 // SetLoad announces the load of this instance to the peers.
 func (roster *Roster) SetLoad(load member.Load) { roster.root.Send(roster.pid, setLoad{load}) }
 
+// SetPathLost announces to the peers whether this instance reaches no target.
+func (roster *Roster) SetPathLost(lost bool) { roster.root.Send(roster.pid, setPath{lost}) }
+
 // SetSeeds replaces the addresses of the seeds.
 func (roster *Roster) SetSeeds(seeds []netip.AddrPort) { roster.root.Send(roster.pid, setSeeds{seeds}) }
 
@@ -194,6 +198,8 @@
 		roster.apply(roster.machine.Leave(now))
 	case setLoad:
 		roster.apply(roster.machine.SetLoad(now, message.load))
+	case setPath:
+		roster.apply(roster.machine.SetPathLost(now, message.lost))
 	case setSeeds:
 		roster.seeds = message.seeds
 	case newMark:
