Crash evidence: a refusal counts only if the target still refuses after another one has accepted

The target itself is connected to again, after another one has accepted.

TestConfirmRefusal, case 'it accepts one again', fails before. The waiting for each other is by a channel now, not by a mutex held during connections.

--- a/shallotreel/reachwatch/reachwatch.go
+++ b/shallotreel/reachwatch/reachwatch.go
@@ -42,8 +42,8 @@
 	mutex     sync.Mutex
 	monitor   *reach.Monitor
 	lost      chan struct{} // closed when the path is lost; a new one while it is there
-	// confirming serializes the probes for failed attempts, so that one answers all who wait.
-	confirming sync.Mutex
+	// confirming holds a value while failed attempts have targets probed, so that one probe answers all who wait.
+	confirming chan struct{}
 }
 
 type counters struct{ lost, found, probes tally.Counter }
@@ -51,7 +51,7 @@
 // New returns a Watch that believes that targets can be reached and calls onChange when that changes.
 func New(targets Catalogue, prober Prober, onChange func(reach.Change), log logrus.FieldLogger, scope tally.Scope) *Watch {
 	return &Watch{catalogue: targets, prober: prober, log: log, onChange: onChange, monitor: reach.New(time.Now()),
-		lost:     make(chan struct{}),
+		lost: make(chan struct{}), confirming: make(chan struct{}, 1),
 		counters: counters{scope.Counter("path_lost"), scope.Counter("path_found"), scope.Counter("path_probes")}}
 }
 
@@ -110,8 +110,8 @@
 // Verify reports whether the path is lost, after a request has failed at the given time. Without a sign of life since, it connects to
 // other targets, which takes as long as one connection.
 func (watch *Watch) Verify(failedAt time.Time) bool {
-	watch.confirming.Lock()
-	defer watch.confirming.Unlock()
+	watch.confirming <- struct{}{}
+	defer func() { <-watch.confirming }()
 	if watch.IsLost() || watch.AliveSince(failedAt) {
 		return watch.IsLost()
 	}
@@ -124,11 +124,16 @@
 	return watch.IsLost()
 }
 
-// ConfirmRefusal reports whether other targets accept connections after one has refused one at the given time, so that its process
-// has ended. It also does if there is no other target. It may take as long as some connections.
+// ConfirmRefusal reports whether the target, which has refused a connection at the given time, still does so after another one has
+// accepted one, or if there is no other, so that its process has ended. It may take as long as some connections.
 func (watch *Watch) ConfirmRefusal(refusedAt time.Time, refusing netip.AddrPort) bool {
-	watch.confirming.Lock()
-	defer watch.confirming.Unlock()
+	return watch.othersAccept(refusedAt, refusing) && !watch.prober.Accepts(refusing)
+}
+
+// othersAccept reports whether another target has accepted a connection since the given time, or there is no other.
+func (watch *Watch) othersAccept(refusedAt time.Time, refusing netip.AddrPort) bool {
+	watch.confirming <- struct{}{}
+	defer func() { <-watch.confirming }()
 	for range maxConfirmRounds {
 		if watch.IsLost() {
 			return false
--- a/shallotreel/reachwatch/reachwatch_test.go
+++ b/shallotreel/reachwatch/reachwatch_test.go
@@ -21,17 +21,18 @@
 // prober is a Prober whose targets accept connections unless the path is cut.
 type prober struct {
 	cut    atomic.Bool
+	ended  netip.AddrPort // target that accepts no connection
 	probes atomic.Int64
 }
 
-func (prober *prober) Accepts(netip.AddrPort) bool {
+func (prober *prober) Accepts(address netip.AddrPort) bool {
 	prober.probes.Add(1)
 	if prober.cut.Load() {
 		time.Sleep(100 * time.Millisecond)
 		return false
 	}
 	time.Sleep(time.Millisecond)
-	return true
+	return address != prober.ended
 }
 
 // fixed is a Catalogue whose view never changes.
@@ -119,12 +120,20 @@
 // TestConfirmRefusal guards against a lost path that looks as if targets had crashed.
 func TestConfirmRefusal(t *testing.T) {
 	t.Run("others accept connections", func(t *testing.T) {
-		run(t, 4, func(t *testing.T, watch *Watch, _ *prober) {
+		run(t, 4, func(t *testing.T, watch *Watch, prober *prober) {
+			prober.ended = address(0)
 			if !watch.ConfirmRefusal(time.Now(), address(0)) {
 				t.Error("the refusal is not confirmed")
 			}
 		})
 	})
+	t.Run("it accepts one again", func(t *testing.T) {
+		run(t, 4, func(t *testing.T, watch *Watch, _ *prober) {
+			if watch.ConfirmRefusal(time.Now(), address(0)) {
+				t.Error("the refusal is confirmed")
+			}
+		})
+	})
 	t.Run("no other accepts one", func(t *testing.T) {
 		run(t, 4, func(t *testing.T, watch *Watch, prober *prober) {
 			prober.cut.Store(true)
