--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,7 +36,7 @@
 	MatchesResponse func(http.Header) bool // reports whether the response with the header answers this request
 	Done            func(Result)           // receives the result; called exactly once
 
-	once       sync.Once
+	finished   atomic.Bool
 	cancel     context.CancelFunc // cancels the dial
 	connection *connection        // guarded by the pool's mutex
 	canceled   bool               // whether Cancel was called; guarded by the pool's mutex
@@ -67,7 +68,9 @@
 var ErrCanceled = errors.New("call canceled")
 
 func (call *Call) finish(result Result) {
-	call.once.Do(func() { call.Done(result) })
+	if call.finished.CompareAndSwap(false, true) { // Cancel does not wait for Done, which may take some time
+		call.Done(result)
+	}
 }
 
 // Pool keeps the connections to all targets. Its methods may be called from several goroutines at once.
@@ -79,7 +82,7 @@
 	memory   memory
 	open     int    // open connections
 	dials    uint64 // connections ever opened
-	dialer   net.Dialer
+	connect  Dial
 	// acceptanceWait is the time within which a target at its connection limit, or whose process ends, resets a connection.
 	acceptanceWait time.Duration
 }
@@ -90,10 +93,25 @@
 	nextDialAt time.Time
 }
 
+// Dial connects to a target. It returns an error once the context has ended.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option changes a new Pool.
+type Option func(*Pool)
+
+// WithDial makes the pool open its connections with the function instead of TCP.
+func WithDial(dial Dial) Option {
+	return func(pool *Pool) { pool.connect = dial }
+}
+
 // NewPool returns a pool without connections.
-func NewPool() *Pool {
-	return &Pool{idle: map[netip.AddrPort][]*connection{}, backoffs: map[netip.AddrPort]*dialBackoff{}, probes: map[netip.AddrPort]time.Time{},
-		dialer: net.Dialer{Timeout: dialTimeout}, acceptanceWait: acceptanceWait}
+func NewPool(options ...Option) *Pool {
+	pool := &Pool{idle: map[netip.AddrPort][]*connection{}, backoffs: map[netip.AddrPort]*dialBackoff{}, probes: map[netip.AddrPort]time.Time{},
+		connect: new(net.Dialer).DialContext, acceptanceWait: acceptanceWait}
+	for _, option := range options {
+		option(pool)
+	}
+	return pool
 }
 
 // CanStart reports whether a call to the target can start now, on an idle connection or on a new one. A new connection
@@ -187,9 +205,16 @@
 	return connection
 }
 
+// connectTo opens a connection to the target within the timeout.
+func (pool *Pool) connectTo(ctx context.Context, address netip.AddrPort, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return pool.connect(ctx, "tcp", address.String())
+}
+
 // dial opens a connection, sends the request and reads responses until the connection closes.
 func (pool *Pool) dial(ctx context.Context, call *Call) {
-	conn, err := pool.dialer.DialContext(ctx, "tcp", call.Address.String())
+	conn, err := pool.connectTo(ctx, call.Address, dialTimeout)
 	if errors.Is(err, syscall.ECONNRESET) {
 		pool.recordReset(call.Address)
 		call.finish(Result{Err: ErrConnectionLimit})
@@ -226,7 +251,7 @@
 // close it soon after; a second one then shows whether it still listens.
 func (pool *Pool) listens(address netip.AddrPort) Listens {
 	for range 2 {
-		conn, err := net.DialTimeout("tcp", address.String(), refusalTimeout)
+		conn, err := pool.connectTo(context.Background(), address, refusalTimeout)
 		if errors.Is(err, syscall.ECONNRESET) {
 			continue
 		}
@@ -245,7 +270,7 @@
 
 // Accepts reports whether the target accepts a connection, which is closed at once.
 func (pool *Pool) Accepts(address netip.AddrPort) bool {
-	conn, err := net.DialTimeout("tcp", address.String(), refusalTimeout)
+	conn, err := pool.connectTo(context.Background(), address, refusalTimeout)
 	if err != nil {
 		return false
 	}
