--- a/shallotreel/relay/client.go
+++ b/shallotreel/relay/client.go
@@ -36,11 +36,29 @@
 	selector *helper.Selector
 	links    map[netip.AddrPort]*link
 	opening  map[netip.AddrPort]chan struct{} // closed when the attempt to open a link has ended
+	ask      Ask
+}
+
+// Ask has a helper serve the request and returns its reply; ErrNotSent if the helper has got nothing, or another error if it may
+// have sent the request to targets.
+type Ask func(ctx context.Context, peer netip.AddrPort, request Request) (Reply, error)
+
+// Option changes a new Client.
+type Option func(*Client)
+
+// WithAsk makes the client ask helpers with the function instead of net/rpc.
+func WithAsk(ask Ask) Option {
+	return func(client *Client) { client.ask = ask }
 }
 
 // NewClient returns a client for the instance, which knows no helper yet.
-func NewClient(self member.Member) *Client {
-	return &Client{selector: helper.New(self), links: map[netip.AddrPort]*link{}, opening: map[netip.AddrPort]chan struct{}{}}
+func NewClient(self member.Member, options ...Option) *Client {
+	client := &Client{selector: helper.New(self), links: map[netip.AddrPort]*link{}, opening: map[netip.AddrPort]chan struct{}{}}
+	client.ask = client.askOverLink
+	for _, option := range options {
+		option(client)
+	}
+	return client
 }
 
 // SetMembers sets the members of the fleet, among which the helpers are selected. The caller must not modify the slice.
@@ -65,14 +83,14 @@
 			return outcome
 		}
 		tried = append(tried, chosen.Name)
-		reply, err := client.ask(ctx, chosen, request)
+		reply, err := client.askHelper(ctx, chosen, request)
 		attempt := Attempt{Helper: chosen.Name, Took: time.Since(now), Cause: reply.Refusal}
 		if err != nil {
 			attempt.Cause = err.Error()
 		}
 		outcome.Attempts = append(outcome.Attempts, attempt)
 		switch {
-		case errors.Is(err, errNotSent), err == nil && reply.Refusal != "":
+		case errors.Is(err, ErrNotSent), err == nil && reply.Refusal != "":
 			continue
 		case err != nil:
 			outcome.Unknown, outcome.Answered = true, false
@@ -93,18 +111,18 @@
 	return client.selector.Begin(now, tried)
 }
 
-// ask sends the request to the helper.
-func (client *Client) ask(ctx context.Context, chosen helper.Helper, request Request) (Reply, error) {
-	reply, err := client.askOverLink(ctx, chosen.Peer, request)
+// askHelper sends the request to the helper, and waits until the request's time is over.
+func (client *Client) askHelper(ctx context.Context, chosen helper.Helper, request Request) (Reply, error) {
+	limited, cancel := context.WithTimeout(ctx, request.Left)
+	defer cancel()
+	reply, err := client.ask(limited, chosen.Peer, request)
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
-	client.selector.End(time.Now(), chosen.Name, err == nil && reply.Refusal == "" || ctx.Err() != nil)
+	client.selector.End(time.Now(), chosen.Name, err == nil && reply.Refusal == "" || limited.Err() != nil)
 	return reply, err
 }
 
 func (client *Client) askOverLink(ctx context.Context, peer netip.AddrPort, request Request) (Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, request.Left)
-	defer cancel()
 	link, err := client.link(ctx, peer)
 	if err != nil {
 		return Reply{}, err
@@ -133,12 +151,12 @@
 		select {
 		case <-opened:
 		case <-ctx.Done():
-			return nil, errNotSent
+			return nil, ErrNotSent
 		}
 		client.mutex.Lock()
 		if _, ok := client.links[peer]; !ok {
 			client.mutex.Unlock()
-			return nil, errNotSent // as the request that opened the link found out
+			return nil, ErrNotSent // as the request that opened the link found out
 		}
 	}
 	opened := make(chan struct{})
--- a/shallotreel/relay/link.go
+++ b/shallotreel/relay/link.go
@@ -25,12 +25,12 @@
 	idleTime = 10 * time.Second
 )
 
-// errNotSent is the error of a call of which nothing was sent.
-var errNotSent = errors.New("nothing was sent to the helper")
+// ErrNotSent is the error of a call of which nothing was sent.
+var ErrNotSent = errors.New("nothing was sent to the helper")
 
-// errLinkLost is the error of a call whose outcome is unknown, because the connection to the helper broke or the helper fell
+// ErrLinkLost is the error of a call whose outcome is unknown, because the connection to the helper broke or the helper fell
 // silent.
-var errLinkLost = errors.New("the connection to the helper is lost")
+var ErrLinkLost = errors.New("the connection to the helper is lost")
 
 // link is a connection to a helper.
 type link struct {
@@ -49,7 +49,7 @@
 	begun := time.Now()
 	client, err := peerrpc.Dial(peer, dialTimeout, maxSilence)
 	if err != nil {
-		return nil, errors.Wrap(errNotSent, err.Error())
+		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	now := time.Now()
 	link := &link{client: client, usedAt: now, round: now.Sub(begun), lost: make(chan struct{})}
@@ -63,7 +63,7 @@
 	link.mutex.Lock()
 	if link.isLost {
 		link.mutex.Unlock()
-		return Reply{}, errNotSent
+		return Reply{}, ErrNotSent
 	}
 	link.calls++
 	link.lastCall++
@@ -80,17 +80,17 @@
 		link.client.Go(ServiceName+".Cancel", request.Call, new(int), make(chan *rpc.Call, 1))
 		return Reply{}, ctx.Err()
 	case <-link.lost:
-		return Reply{}, errLinkLost
+		return Reply{}, ErrLinkLost
 	}
 	var refused rpc.ServerError
 	switch {
 	case call.Error == nil:
 		return reply, nil
 	case errors.As(call.Error, &refused):
-		return Reply{}, errors.Wrap(errNotSent, refused.Error()) // an instance of a version that serves no requests of others
+		return Reply{}, errors.Wrap(ErrNotSent, refused.Error()) // an instance of a version that serves no requests of others
 	default:
 		link.lose()
-		return Reply{}, errors.Wrap(errLinkLost, call.Error.Error())
+		return Reply{}, errors.Wrap(ErrLinkLost, call.Error.Error())
 	}
 }
 
