Logs: limit the lines about the health of targets, by one limiter for three kinds

At most 50 a second now; further ones are counted (health_lines_dropped). The two limiters that stood in recorder and crashwatch become package linelimit.

--- a/shallotreel/crashwatch/crashwatch.go
+++ b/shallotreel/crashwatch/crashwatch.go
@@ -12,6 +12,7 @@
 	"shallotreel.example/reel/catalogue"
 	"shallotreel.example/reel/crash"
 	"shallotreel.example/reel/quarantine"
+	"shallotreel.example/shallotreel/linelimit"
 )
 
 const (
@@ -36,8 +37,7 @@
 	mutex        sync.Mutex
 	ledger       *crash.Ledger
 	sweptAt      time.Time
-	second       int64 // Unix time to which lines applies
-	lines        int
+	lines        *linelimit.Limiter
 	pendingSince time.Time // start of the second to which pending applies
 	pending      int
 	trials       map[quarantine.Fingerprint]time.Time // when the next trial may begin, zero while one is in progress
@@ -58,7 +58,7 @@
 
 // New returns a Watch that keeps its marks in the tracker and calls replicate for each one that changes.
 func New(tracker *quarantine.Tracker, targets Catalogue, replicate func(quarantine.Fingerprint), log logrus.FieldLogger, scope tally.Scope, options ...Option) *Watch {
-	watch := &Watch{tracker: tracker, catalogue: targets, log: log, replicate: replicate, ledger: crash.NewLedger(),
+	watch := &Watch{tracker: tracker, catalogue: targets, log: log, replicate: replicate, ledger: crash.NewLedger(), lines: linelimit.New(linesPerSecond),
 		trials: map[quarantine.Fingerprint]time.Time{}, alive: func(time.Time) bool { return true },
 		counters: counters{attributed: scope.Counter("crashes_attributed"), dismissed: scope.Counter("crashes_dismissed"),
 			pending: scope.Counter("crashes_suspected"),
@@ -345,14 +345,7 @@
 
 // write writes a log line unless linesPerSecond are reached.
 func (watch *Watch) write(now time.Time, text string, fields logrus.Fields) {
-	watch.mutex.Lock()
-	if second := now.Unix(); second != watch.second {
-		watch.second, watch.lines = second, 0
-	}
-	watch.lines++
-	excess := watch.lines > linesPerSecond
-	watch.mutex.Unlock()
-	if excess {
+	if !watch.lines.Allow(now) {
 		watch.counters.dropped.Inc(1)
 		return
 	}
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -34,6 +34,7 @@
 	"shallotreel.example/shallotreel/crashwatch"
 	"shallotreel.example/shallotreel/feed"
 	"shallotreel.example/shallotreel/ingress"
+	"shallotreel.example/shallotreel/linelimit"
 	"shallotreel.example/shallotreel/peerrpc"
 	"shallotreel.example/shallotreel/reachwatch"
 	"shallotreel.example/shallotreel/relay"
@@ -48,14 +49,16 @@
 	storeDialTimeout  = 500 * time.Millisecond
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10               // bytes
-	thousandths       = 1000                   // of a core
-	gcPercent         = 50                     // GOGC value; uses a third less memory than 150, for a seventh more CPU time
-	addressTTL        = 5 * time.Second        // for which callers keep an address, unless the settings limit it further
-	maxAddresses      = 64                     // in one answer to an address query
-	staleTTLFactor    = 3                      // callers may keep using an address for this multiple of addressTTL
-	relayedPollPeriod = 20 * time.Millisecond  // between two checks whether requests of other instances have ended
-	closeMargin       = 500 * time.Millisecond // at the end of the grace period, reserved for closing the components
+	maxHeaderBytes    = 64 << 10        // bytes
+	thousandths       = 1000            // of a core
+	gcPercent         = 50              // GOGC value; uses a third less memory than 150, for a seventh more CPU time
+	addressTTL        = 5 * time.Second // for which callers keep an address, unless the settings limit it further
+	// healthLinesPerSecond limits the log lines about the health of targets.
+	healthLinesPerSecond = 50
+	maxAddresses         = 64                     // in one answer to an address query
+	staleTTLFactor       = 3                      // callers may keep using an address for this multiple of addressTTL
+	relayedPollPeriod    = 20 * time.Millisecond  // between two checks whether requests of other instances have ended
+	closeMargin          = 500 * time.Millisecond // at the end of the grace period, reserved for closing the components
 )
 
 // Front is a running instance. Use Start to create one.
@@ -83,6 +86,7 @@
 	reporter     tallyprom.Reporter
 	scope        tally.Scope
 	closer       io.Closer
+	healthLines  *linelimit.Limiter
 	self         member.Member // as this instance joins the fleet
 }
 
@@ -91,7 +95,7 @@
 func Start(config settings.Front, logger *logrus.Logger) (*Front, error) {
 	debug.SetGCPercent(gcPercent)
 	ctx, cancel := context.WithCancel(context.Background())
-	front := &Front{log: logger, ctx: ctx, cancel: cancel, pool: connpool.NewPool()}
+	front := &Front{log: logger, ctx: ctx, cancel: cancel, pool: connpool.NewPool(), healthLines: linelimit.New(healthLinesPerSecond)}
 	front.settings.Store(&config)
 	front.openMetrics()
 	front.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
@@ -229,6 +233,10 @@
 		front.scope.Counter("limits_ended").Inc(1)
 		fields["limit_per_second"] = float64(change.Limit)
 	}
+	if !front.healthLines.Allow(time.Now()) {
+		front.scope.Counter("health_lines_dropped").Inc(1)
+		return
+	}
 	front.log.WithFields(fields).Info("health changed")
 }
 
--- a/shallotreel/front/recorder.go
+++ b/shallotreel/front/recorder.go
@@ -10,6 +10,7 @@
 	"shallotreel.example/reel/query"
 	"shallotreel.example/reel/result"
 	"shallotreel.example/shallotreel/ingress"
+	"shallotreel.example/shallotreel/linelimit"
 )
 
 const (
@@ -32,16 +33,16 @@
 	unavailable   tally.Counter // parts of requests for which no target takes requests now, as these asked
 	mutex         sync.Mutex
 	codes         map[result.Code]tally.Counter
-	normal        int   // complete answers within the latency goal
-	second        int64 // Unix time to which abnormalLines applies
-	abnormalLines int
+	normal        int // complete answers within the latency goal
+	abnormalLines *linelimit.Limiter
 }
 
 func newRecorder(log logrus.FieldLogger, scope tally.Scope) *recorder {
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.5, 18)
 	return &recorder{log: log, scope: scope, latency: scope.Histogram("request_time", buckets),
 		dropped: scope.Counter("request_lines_dropped"), handedOver: scope.Counter("requests_handed_over"), relayed: scope.Counter("requests_for_others"),
-		elsewhere: scope.Counter("attempts_past_limit"), unavailable: scope.Counter("parts_unavailable"), codes: map[result.Code]tally.Counter{}}
+		elsewhere: scope.Counter("attempts_past_limit"), unavailable: scope.Counter("parts_unavailable"), codes: map[result.Code]tally.Counter{},
+		abnormalLines: linelimit.New(abnormalLinesPerSecond)}
 }
 
 // Record updates the metrics for a finished request and logs it if it is sampled.
@@ -110,11 +111,7 @@
 		recorder.normal++
 		return recorder.normal%normalLineInterval == 0
 	}
-	if second := time.Now().Unix(); second != recorder.second {
-		recorder.second, recorder.abnormalLines = second, 0
-	}
-	recorder.abnormalLines++
-	if recorder.abnormalLines > abnormalLinesPerSecond {
+	if !recorder.abnormalLines.Allow(time.Now()) {
 		recorder.dropped.Inc(1)
 		return false
 	}
--- a/shallotreel/ingress/fleet_test.go
+++ b/shallotreel/ingress/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,10 +140,10 @@
 		call := fleet.calls[arrival.id]
 		arrivals[[2]string{arrival.id, arrival.service}]++
 		ran[arrival.id]++
-		if arrival.left <= 0 || arrival.at.Add(arrival.left).After(call.at.Add(simulatedTimeout+deadlineTolerance)) && !fleet.heldUp(call) {
+		if arrival.left <= 0 || arrival.at.Add(arrival.left).After(call.at.Add(simulatedTimeout+deadlineTolerance)) && !fleet.heldUp(arrival) {
 			fleet.t.Errorf("%s arrives with %v left, %v after it was sent", arrival.id, arrival.left, arrival.at.Sub(call.at))
 		}
-		if !call.leftAt.IsZero() && arrival.at.After(call.leftAt.Add(leaveTolerance)) && !fleet.heldUp(call) {
+		if !call.leftAt.IsZero() && arrival.at.After(call.leftAt.Add(leaveTolerance)) && !fleet.heldUp(arrival) {
 			late++
 		}
 	}
@@ -164,16 +165,12 @@
 	}
 }
 
-// heldUp reports whether a hanging path may have held the request up on its way.
-func (fleet *simulatedFleet) heldUp(call *simulatedCall) bool {
-	for _, instance := range fleet.instances {
-		for _, cut := range instance.cuts {
-			if !call.at.After(cut.to) && call.at.Add(simulatedTimeout).After(cut.from) {
-				return true
-			}
-		}
-	}
-	return false
+// heldUp reports whether the path of the sending instance may have held the request up.
+func (fleet *simulatedFleet) heldUp(arrival simulatedArrival) bool {
+	sentAt := fleet.calls[arrival.id].at
+	return slices.ContainsFunc(fleet.instances[arrival.instance].cuts, func(cut interval) bool {
+		return !sentAt.After(cut.to) && arrival.at.After(cut.from)
+	})
 }
 
 // checkBudget checks the arrivals beyond the first of each request in each window.
--- a/shallotreel/ingress/simulated_fleet_test.go
+++ b/shallotreel/ingress/simulated_fleet_test.go
@@ -41,7 +41,7 @@
 	simulatedDowntime  = 1500 * time.Millisecond // of a target that crashed
 	simulatedSession   = 14 * time.Second
 	pauseTime          = 150 * time.Millisecond
-	pauseShare         = 15                     // one in so many requests takes pauseTime
+	pauseShare         = 15                     // one in so many requests takes pauseTime, and all that must not be repeated
 	settleTime         = 4 * time.Second        // after the begin of a cut, within which failures do not count
 	leaveTolerance     = 500 * time.Millisecond // after a caller has left, within which its request may arrive at targets
 	deadlineTolerance  = 500 * time.Millisecond
@@ -86,8 +86,9 @@
 // simulatedArrival is the arrival of a request at a target.
 type simulatedArrival struct {
 	id, service string
+	instance    int // that sent it
 	at          time.Time
-	left        time.Duration
+	left        time.Duration // as the request says
 }
 
 // simulatedCall is a request of a caller.
@@ -149,7 +150,7 @@
 }
 
 func (fleet *simulatedFleet) addInstance(number int) {
-	instance := &simulatedInstance{number: number, path: &simulatedPath{pipes: map[*simulatedPipe]bool{}}, tracker: &quarantine.Tracker{}}
+	instance := &simulatedInstance{number: number, path: &simulatedPath{instance: number, pipes: map[*simulatedPipe]bool{}}, tracker: &quarantine.Tracker{}}
 	self := member.Member{Name: fmt.Sprint("front-", number), DataCentre: fmt.Sprint("dc-", number%3), State: member.Alive,
 		Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(number)}), 80)}
 	fleet.members = append(fleet.members, self)
@@ -249,16 +250,17 @@
 	}
 }
 
-func (fleet *simulatedFleet) recordArrival(id, service string, left time.Duration) {
+func (fleet *simulatedFleet) recordArrival(arrival simulatedArrival) {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	fleet.arrivals = append(fleet.arrivals, simulatedArrival{id, service, time.Now(), left})
+	fleet.arrivals = append(fleet.arrivals, arrival)
 }
 
-func (fleet *simulatedFleet) workTime() time.Duration {
+// workTime returns how long a target works for a request.
+func (fleet *simulatedFleet) workTime(method string) time.Duration {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	if fleet.random.IntN(pauseShare) == 0 {
+	if method == http.MethodPost || fleet.random.IntN(pauseShare) == 0 {
 		return pauseTime
 	}
 	return 5*time.Millisecond + time.Duration(fleet.random.IntN(25))*time.Millisecond
--- a/shallotreel/ingress/simulated_network_test.go
+++ b/shallotreel/ingress/simulated_network_test.go
@@ -35,9 +35,10 @@
 
 // simulatedPath is the path of one instance to the targets.
 type simulatedPath struct {
-	mutex sync.Mutex
-	cut   cut
-	pipes map[*simulatedPipe]bool
+	instance int
+	mutex    sync.Mutex
+	cut      cut
+	pipes    map[*simulatedPipe]bool
 }
 
 // simulatedPipe is a connection over the path.
@@ -92,7 +93,7 @@
 	path.mutex.Unlock()
 	go path.forward(near, far)
 	go path.forward(far, near)
-	go target.serve(targetSide)
+	go target.serve(targetSide, path.instance)
 	return instanceSide, nil
 }
 
@@ -155,7 +156,7 @@
 	clear(target.conns)
 }
 
-func (target *simulatedTarget) serve(conn net.Conn) {
+func (target *simulatedTarget) serve(conn net.Conn, instance int) {
 	defer conn.Close()
 	target.mutex.Lock()
 	target.conns[conn] = true
@@ -171,8 +172,8 @@
 		}
 		id := request.Header.Get("Request-Id")
 		left, _ := strconv.Atoi(request.Header.Get("Deadline-Ms")) // 0 if it is missing, which the fleet reports
-		target.fleet.recordArrival(id, target.service, time.Duration(left)*time.Millisecond)
-		time.Sleep(target.fleet.workTime())
+		target.fleet.recordArrival(simulatedArrival{id, target.service, instance, time.Now(), time.Duration(left) * time.Millisecond})
+		time.Sleep(target.fleet.workTime(request.Method))
 		if strings.HasPrefix(request.URL.Path, crashingPrefix) {
 			target.crash()
 			return
--- /dev/null
+++ b/shallotreel/linelimit/doc.go
@@ -0,0 +1,2 @@
+// Package linelimit limits the log lines of one kind in a second.
+package linelimit
