--- a/reelctl/trace/print.go
+++ b/reelctl/trace/print.go
@@ -23,6 +23,15 @@
 				fmt.Fprintf(table, "  \tleft out\t%s\t%s\tby its rate limit\t\n", attempt.Service, attempt.Limited)
 			}
 		}
+		if completion.Origin != "" {
+			fmt.Fprintf(table, "  \tfor\t%s\t\t\n", completion.Origin)
+		}
+		if completion.HandedOver != "" {
+			fmt.Fprintf(table, "  \thanded over\t\t\t%s\n", completion.HandedOver)
+		}
+		for _, helper := range completion.Helpers {
+			fmt.Fprintf(table, "  \tasked\t%s\t\t%s\n", helper.Name, helper.outcome())
+		}
 		for _, gap := range completion.Gaps {
 			fmt.Fprintf(table, "  \tmissing\t%s\t\t%s\n", gap.Service, gap.Reason)
 		}
@@ -75,6 +84,13 @@
 	return strings.Join(details, ", ")
 }
 
+func (helper Helper) outcome() string {
+	if helper.Cause != "" {
+		return fmt.Sprintf("%s after %s", helper.Cause, formatDuration(helper.Took))
+	}
+	return "answered after " + formatDuration(helper.Took)
+}
+
 func (attempt Attempt) outcome() string {
 	switch {
 	case attempt.Cause != "":
--- a/reelctl/trace/trace.go
+++ b/reelctl/trace/trace.go
@@ -59,6 +59,16 @@
 	Verdict     string    `json:"verdict"` // on them
 	Attempts    []Attempt `json:"attempts"`
 	Gaps        []Gap     `json:"gaps"`
+	Origin      string    `json:"origin"`      // instance that handed the request over to this one
+	HandedOver  string    `json:"handed_over"` // why the request was handed over to others
+	Helpers     []Helper  `json:"helpers"`     // that were asked
+}
+
+// Helper is an instance that was asked to serve the request.
+type Helper struct {
+	Name  string        `json:"helper"`
+	Took  time.Duration `json:"took"`
+	Cause string        `json:"cause"` // why it gave no answer
 }
 
 // Gap is a service that returned no response, and the reason why no other target of the service was tried.
--- a/reelctl/trace/trace_test.go
+++ b/reelctl/trace/trace_test.go
@@ -65,6 +65,9 @@
 	t.Run("golden file of a request that passes over a target with a rate limit", func(t *testing.T) {
 		assertGolden(t, readLogs(t, "limited.jsonl"), "0333d64b6ad4fc8a", "limited.txt")
 	})
+	t.Run("golden file of a request that went by way of another instance", func(t *testing.T) {
+		assertGolden(t, readLogs(t, "relayed-cut.jsonl", "relayed-helper.jsonl"), "83a638063327ab43", "relayed.txt")
+	})
 	t.Run("unknown request", func(t *testing.T) {
 		if _, err := Find(lines, "none"); !errors.Is(err, ErrNotFound) {
 			t.Errorf("got error %v, want ErrNotFound", err)
