Membership: refuse datagrams with an unknown state

Found by reading for the class 'one malformed message': a state without a name was merged, and the log line about the change could not be written, which ended the step of the actor in an error that nobody logged. TestMalformedDatagrams: 2 of 5 cases fail before.

--- a/reel/member/messages.go
+++ b/reel/member/messages.go
@@ -24,6 +24,9 @@
 
 var stateNames = []string{"joining", "alive", "leaving", "suspect", "dead"}
 
+// IsValid reports whether the state is one of the constants.
+func (state State) IsValid() bool { return int(state) < len(stateNames) }
+
 // String returns the name of the state.
 func (state State) String() string {
 	return stateNames[state]
--- a/shallotreel/roster/datagram.go
+++ b/shallotreel/roster/datagram.go
@@ -36,6 +36,11 @@
 	if err := msgpack.Unmarshal(data, &decoded.members); err != nil {
 		return datagram{}, errors.Wrap(err, "decode membership message")
 	}
+	for _, described := range append(decoded.members.Updates, decoded.members.From) {
+		if !described.State.IsValid() {
+			return datagram{}, errors.Errorf("decode membership message: unknown state %d of member %q", described.State, described.Name)
+		}
+	}
 	if len(decoded.members.Attachment) == 0 {
 		return decoded, nil
 	}
