--- a/shallotreel/front/lost_path_test.go
+++ b/shallotreel/front/lost_path_test.go
@@ -32,8 +32,9 @@
 type cutFleet struct {
 	t       *testing.T
 	links   []*link
-	cut     settings.Front   // the instance behind the links
-	others  []settings.Front // the other ones
+	cut     settings.Front    // the instance behind the links
+	others  []settings.Front  // the other ones
+	fronts  map[string]*Front // by name, for instances in this process
 	log     markLog
 	mutex   sync.Mutex
 	arrived map[string]int // arrivals at all targets of non-idempotent requests, by ID
@@ -43,7 +44,7 @@
 // store of its own, which names the links as addresses of the targets.
 func startCutFleet(t *testing.T) *cutFleet {
 	t.Helper()
-	fleet := &cutFleet{t: t, arrived: map[string]int{}}
+	fleet := &cutFleet{t: t, arrived: map[string]int{}, fronts: map[string]*Front{}}
 	store, cutStore := storetest.Start(t), storetest.Start(t)
 	routes := []storetest.Route{
 		{Name: "one", Host: "h", Prefix: "/one/", Type: "non_idempotent", Timeout: 2000, Goal: 200, Attempts: 3, Service: "desk"},
@@ -106,7 +107,12 @@
 	} else {
 		var front *Front
 		front, config = startOnFreePorts(fleet.t, config, instanceLog{&fleet.log, name})
-		stop = front.close
+		stop = func() {
+			if !front.stopping.Load() {
+				front.close()
+			}
+		}
+		fleet.fronts[name] = front
 	}
 	fleet.t.Cleanup(stop)
 	if dataCentre == "b" {
@@ -205,3 +211,33 @@
 		})
 	}
 }
+
+// TestHelperStopsUnderLoad guards against requests of another instance that a planned stop of their helper cuts off.
+func TestHelperStopsUnderLoad(t *testing.T) {
+	if *program != "" {
+		t.Skip("instances in other processes are stopped by signals, which the soak does")
+	}
+	fleet := startCutFleet(t)
+	fleet.serve(fleet.cut, http.MethodGet, "/all/", 40)
+	fleet.setLinks(linkReset)
+	fleet.serve(fleet.cut, http.MethodGet, "/all/", 40) // shows that the path is lost
+	helper := fleet.fronts[fleet.others[0].Name]
+	short := fleet.others[0]
+	short.Grace = document.Duration(3 * time.Second)
+	helper.Reload(short)
+	stopped := make(chan struct{})
+	go func() {
+		helper.Stop("test")
+		close(stopped)
+	}()
+	for running := true; running; {
+		select {
+		case <-stopped:
+			running = false
+		default:
+		}
+		if served := fleet.serve(fleet.cut, http.MethodPost, "/one/", 20); served != 20 {
+			t.Errorf("%d of 20 requests are served while a helper stops", served)
+		}
+	}
+}
--- a/shallotreel/ingress/handover.go
+++ b/shallotreel/ingress/handover.go
@@ -170,7 +170,7 @@
 	version := max(run.record.Version, run.handler.helpersVersion.get(now))
 	request := relay.Request{Origin: run.handler.router.home.Name, Method: run.request.Method, Host: run.request.Host, URI: run.request.head.RequestURI,
 		Header: run.request.Header, Body: run.request.body, Left: run.plan.Deadline.Sub(now), GoalLeft: run.plan.SoftDeadline.Sub(now),
-		Version: version, Counted: run.machine != nil, Spent: map[string]int{}}
+		Version: version, Once: !run.plan.Route.Idempotent, Counted: run.machine != nil, Spent: map[string]int{}}
 	for _, part := range spent {
 		if part.Runs > 0 {
 			request.Spent[part.Service] = part.Runs
--- a/shallotreel/relay/messages.go
+++ b/shallotreel/relay/messages.go
@@ -22,6 +22,7 @@
 	Left     time.Duration  // until the answer must be sent back
 	GoalLeft time.Duration  // until the answer must be sent back to meet the latency goal
 	Version  uint64         // newest configuration by which the origin's callers were served; an older one must not be used
+	Once     bool           // whether the request must not be repeated
 	Counted  bool           // whether the origin has counted the request for the budgets of extra attempts
 	Spent    map[string]int // attempts that may have reached a target, by service; they count against the route's limit
 }
--- a/shallotreel/relay/relay_test.go
+++ b/shallotreel/relay/relay_test.go
@@ -145,6 +145,32 @@
 		client := newClient(netip.MustParseAddrPort(listener.Addr().String()), spare(t))
 		assertOutcome(t, client.Serve(t.Context(), Request{Left: left}), false, true, 1)
 	})
+	t.Run("silent for a while, with a request that must not be repeated", func(t *testing.T) {
+		resume := make(chan struct{})
+		address := serve(t, helperOf(func(context.Context, Request) Reply {
+			<-resume
+			return Reply{Code: result.OK}
+		}))
+		link, err := openLink(address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		link.setSilent(true)
+		if _, err := link.serve(t.Context(), Request{Left: left}); !errors.Is(err, ErrNotSent) {
+			t.Errorf("a new request to a silent helper ends with %v, want ErrNotSent", err)
+		}
+		link.setSilent(false)
+		go func() {
+			for !link.isBusy() {
+				time.Sleep(time.Millisecond)
+			}
+			link.setSilent(true)
+			close(resume)
+		}()
+		if reply, err := link.serve(t.Context(), Request{Left: left, Once: true}); err != nil || reply.Code != result.OK {
+			t.Errorf("reply %+v, error %v; want the answer of the helper", reply, err)
+		}
+	})
 	t.Run("killed", func(t *testing.T) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
