Path to the targets: many dead targets are no lost path

Both random targets that were probed were dead too.

While the path is in doubt, eight targets are asked for a connection, up to four of them those that answered last; two while it is lost. The case 'two thirds of the targets dead' of TestSickTargetsAreNoLostPath fails with two random ones.

--- a/reel/reach/monitor.go
+++ b/reel/reach/monitor.go
@@ -8,8 +8,15 @@
 )
 
 const (
-	// ProbesPerRound is the number of targets that are probed at once, so that one dead target decides nothing.
-	ProbesPerRound = 2
+	// doubtProbes is the number of targets that are probed at once while the path is in doubt. Most targets of some services may be
+	// dead at the same time, which is no lost path.
+	doubtProbes = 8
+	// returnProbes is that number while the path is lost.
+	returnProbes = 2
+	// maxAnswering is the number of these targets that are chosen because they answered last.
+	maxAnswering = 4
+	// minAnswering is the number of such targets that must run for new connections in general to be in doubt.
+	minAnswering = 2
 	// probeGap is the least time between two rounds of probes while the path is not lost.
 	probeGap = 200 * time.Millisecond
 	// minSilence is the least time without a sign of life after which a failed attempt puts the path in doubt.
@@ -38,10 +45,11 @@
 	Unopened Cause = "no target accepts a new connection"
 )
 
-// Round asks for a connection to each of some targets: to ProbesPerRound ones, if there are as many.
+// Round asks for a connection to each of some targets.
 type Round struct {
 	Cause   Cause            // in doubt
-	Targets []netip.AddrPort // the targets to connect to; nil for random ones
+	Count   int              // number of targets, if there are as many
+	Targets []netip.AddrPort // some of them; the others are random ones
 }
 
 // Change is a lost path, or one that is back.
@@ -178,14 +186,14 @@
 	case monitor.round != nil:
 		return Round{}, false
 	case monitor.lost:
-		return Round{Cause: monitor.cause}, waited >= returnPeriod
+		return Round{Cause: monitor.cause, Count: returnProbes}, waited >= returnPeriod
 	case waited < probeGap:
 		return Round{}, false
 	case monitor.isSilent(now):
-		return Round{Cause: Silence}, true
+		return monitor.Doubt(), true
 	case len(monitor.unopened) >= minUnopened:
-		targets := monitor.answering()
-		return Round{Cause: Unopened, Targets: targets}, len(targets) == ProbesPerRound
+		targets := monitor.answeringSince(monitor.firstUnopened())
+		return Round{Cause: Unopened, Count: doubtProbes, Targets: targets}, len(targets) >= minAnswering
 	}
 	return Round{}, false
 }
@@ -203,23 +211,32 @@
 	return false
 }
 
-// answering returns targets that answered after the first connection could not be opened, so that they run and should
-// accept one.
-func (monitor *Monitor) answering() []netip.AddrPort {
+// Doubt returns a round for a path on which no target gives a sign of life.
+func (monitor *Monitor) Doubt() Round {
+	return Round{Cause: Silence, Count: doubtProbes, Targets: monitor.answeringSince(time.Time{})}
+}
+
+// firstUnopened returns when the first connection could not be opened.
+func (monitor *Monitor) firstUnopened() time.Time {
 	first := time.Time{}
 	for _, at := range monitor.unopened {
 		if first.IsZero() || at.Before(first) {
 			first = at
 		}
 	}
+	return first
+}
+
+// answeringSince returns the targets that answered last, after the given time, so that they run and should accept a connection.
+func (monitor *Monitor) answeringSince(since time.Time) []netip.AddrPort {
 	var targets []netip.AddrPort
 	for target, at := range monitor.answered {
-		if at.After(first) {
+		if at.After(since) {
 			targets = append(targets, target)
 		}
 	}
 	slices.SortFunc(targets, func(a, b netip.AddrPort) int { return monitor.answered[b].Compare(monitor.answered[a]) })
-	return targets[:min(len(targets), ProbesPerRound)]
+	return targets[:min(len(targets), maxAnswering)]
 }
 
 // RoundEnded records how many connections of the round in progress were accepted and how many were not. It returns the change
--- a/reel/reach/monitor_test.go
+++ b/reel/reach/monitor_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,8 +52,10 @@
 		return
 	}
 	targets := round.Targets
-	for i := 0; i < ProbesPerRound && round.Targets == nil; i++ {
-		targets = append(targets, address((int(network.nextID)+i)%network.targets))
+	for len(targets) < min(round.Count, network.targets) {
+		if target := address(network.random.IntN(network.targets)); !slices.Contains(targets, target) {
+			targets = append(targets, target)
+		}
 	}
 	accepted, failed, took := 0, 0, roundTrip
 	for _, target := range targets {
@@ -132,16 +135,26 @@
 // TestSickTargetsAreNoLostPath guards against instances that take dead targets, pauses of all targets or of their own process for
 // a lost path.
 func TestSickTargetsAreNoLostPath(t *testing.T) {
-	t.Run("most targets dead", func(t *testing.T) {
+	for _, period := range []time.Duration{10 * ms, 200 * ms} {
+		t.Run("two thirds of the targets dead "+period.String(), func(t *testing.T) {
+			network := newNetwork(30)
+			network.load(period, time.Second)
+			for target := range 20 {
+				network.dead[target] = true
+			}
+			network.load(period, 4*time.Second)
+			if len(network.changes) > 0 {
+				t.Errorf("the path is found to be lost: %+v", network.changes)
+			}
+		})
+	}
+	t.Run("all targets dead but one", func(t *testing.T) {
 		network := newNetwork(20)
 		for target := range 19 {
 			network.dead[target] = true
 		}
 		network.load(10*ms, 2*time.Second)
-		if len(network.changes) == 0 {
-			return
-		}
-		network.dead = map[int]bool{} // both probes may have met dead targets; the path is back with the next ones
+		network.dead = map[int]bool{}
 		network.load(10*ms, time.Second)
 		assertLost(t, network, false)
 	})
--- a/shallotreel/reachwatch/reachwatch.go
+++ b/shallotreel/reachwatch/reachwatch.go
@@ -21,6 +21,8 @@
 	// maxConfirmRounds is the number of times that other targets are connected to, in order to confirm that one has ended. Many may
 	// have ended at once.
 	maxConfirmRounds = 3
+	// confirmProbes is the number of targets that are connected to at once for that.
+	confirmProbes = 2
 )
 
 // Prober opens connections to targets.
@@ -116,7 +118,10 @@
 		return watch.IsLost()
 	}
 	began := time.Now()
-	accepted, failed := watch.connect(watch.randomTargets(netip.AddrPort{}))
+	watch.mutex.Lock()
+	round := watch.monitor.Doubt()
+	watch.mutex.Unlock()
+	accepted, failed := watch.connect(watch.randomTargets(round.Targets, round.Count))
 	watch.mutex.Lock()
 	change, changed := watch.monitor.Verified(time.Now(), began, accepted, failed)
 	watch.mutex.Unlock()
@@ -141,7 +146,7 @@
 		if watch.acceptedSince(refusedAt) {
 			return true
 		}
-		others := watch.randomTargets(refusing)
+		others := watch.randomTargets([]netip.AddrPort{refusing}, 1+confirmProbes)[1:]
 		if len(others) == 0 {
 			return true
 		}
@@ -183,11 +188,7 @@
 
 // probe connects to the targets of the round, or to random ones.
 func (watch *Watch) probe(round reach.Round) {
-	targets := round.Targets
-	if targets == nil {
-		targets = watch.randomTargets(netip.AddrPort{})
-	}
-	accepted, failed := watch.connect(targets)
+	accepted, failed := watch.connect(watch.randomTargets(round.Targets, round.Count))
 	watch.mutex.Lock()
 	change, changed := watch.monitor.RoundEnded(time.Now(), accepted, failed)
 	if changed && !change.Lost {
@@ -225,27 +226,25 @@
 	return accepted, failed
 }
 
-// randomTargets returns the addresses of up to reach.ProbesPerRound random targets of different services, if there are as many, other
-// than the given one.
-func (watch *Watch) randomTargets(except netip.AddrPort) []netip.AddrPort {
+// randomTargets returns the given targets and random other ones up to the count, of different services if there are as many.
+func (watch *Watch) randomTargets(targets []netip.AddrPort, count int) []netip.AddrPort {
 	view := watch.catalogue.View()
 	if view.Configuration == nil {
-		return nil
+		return targets
 	}
-	var addresses []netip.AddrPort
-	for range reach.ProbesPerRound {
+	for range count {
 		for service := range view.Configuration.Services { // in random order
-			targets := view.Targets(service)
-			if len(targets) == 0 || len(addresses) == reach.ProbesPerRound {
+			registered := view.Targets(service)
+			if len(registered) == 0 || len(targets) >= count {
 				continue
 			}
-			address := targets[rand.IntN(len(targets))].Address
-			if address != except && !slices.Contains(addresses, address) {
-				addresses = append(addresses, address)
+			address := registered[rand.IntN(len(registered))].Address
+			if !slices.Contains(targets, address) {
+				targets = append(targets, address)
 			}
 		}
 	}
-	return addresses
+	return targets
 }
 
 // report logs the change and passes it on.
