--- a/reel/reach/monitor.go
+++ b/reel/reach/monitor.go
@@ -32,7 +32,7 @@
 	flapTime        = 5 * time.Second
 	// pauseThreshold is the time between two calls of Tick that shows that this process was paused.
 	pauseThreshold = 250 * time.Millisecond
-	// memory is how long answers of targets, and connections that could not be opened, are kept.
+	// memory is how long answers of targets, and connections that could not be opened, are kept at least.
 	memory = 2 * time.Second
 )
 
@@ -79,6 +79,7 @@
 	returned     int  // successful rounds in a row while the path is lost
 	returnRounds int
 	tickedAt     time.Time
+	sweptAt      time.Time
 }
 
 // attempt is an attempt without an answer.
@@ -101,6 +102,11 @@
 	return monitor.lost || monitor.round != nil || monitor.isSilent(now)
 }
 
+// NoHelper records that no other instance serves requests meanwhile, so that a lost path is used again at its first sign of life.
+func (monitor *Monitor) NoHelper() {
+	monitor.returnRounds = 1
+}
+
 // LostFor returns for how long the path has been lost, or 0 if it is not.
 func (monitor *Monitor) LostFor(now time.Time) time.Duration {
 	if !monitor.lost {
@@ -170,9 +176,7 @@
 		monitor.alive(now)
 	}
 	monitor.tickedAt = now
-	isOld := func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > memory }
-	maps.DeleteFunc(monitor.answered, isOld)
-	maps.DeleteFunc(monitor.unopened, isOld)
+	monitor.sweep(now)
 	round, due := monitor.dueRound(now)
 	if !due {
 		return Round{}, false
@@ -181,6 +185,17 @@
 	return round, true
 }
 
+// sweep removes what is older than memory, at most once in that time.
+func (monitor *Monitor) sweep(now time.Time) {
+	if now.Sub(monitor.sweptAt) < memory {
+		return
+	}
+	monitor.sweptAt = now
+	isOld := func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) > memory }
+	maps.DeleteFunc(monitor.answered, isOld)
+	maps.DeleteFunc(monitor.unopened, isOld)
+}
+
 func (monitor *Monitor) dueRound(now time.Time) (Round, bool) {
 	switch waited := now.Sub(monitor.roundEnded); {
 	case monitor.round != nil:
--- a/reel/reach/monitor_test.go
+++ b/reel/reach/monitor_test.go
@@ -179,6 +179,20 @@
 	})
 }
 
+// TestReturnWithoutHelper guards against an instance that refuses callers for longer than it must after the path is back, while no other
+// instance serves them.
+func TestReturnWithoutHelper(t *testing.T) {
+	network := newNetwork(20)
+	network.load(20*ms, time.Second)
+	network.cut = true
+	network.load(20*ms, time.Second)
+	assertLost(t, network, true)
+	network.monitor.NoHelper()
+	network.cut = false
+	network.load(20*ms, returnPeriod+timeout+tick)
+	assertLost(t, network, false)
+}
+
 // TestReturnOfFlappingPath guards against an instance that is used at each return of a path that never lasts.
 func TestReturnOfFlappingPath(t *testing.T) {
 	network := newNetwork(20)
--- a/shallotreel/ingress/handover.go
+++ b/shallotreel/ingress/handover.go
@@ -186,6 +186,9 @@
 	case outcome.Unknown:
 		return query.Finish{Code: result.Broken, Reason: reasonHelperLost}
 	case !outcome.Answered:
+		if len(outcome.Attempts) == 0 {
+			run.handler.path.NoHelper()
+		}
 		return query.Finish{Code: unservedCode(spent), Reason: reasonNoHelper, RetryAfter: run.handler.pathRetryAfter()}
 	}
 	run.handler.helpersVersion.raise(time.Now(), outcome.Reply.Version)
--- a/shallotreel/reachwatch/reachwatch.go
+++ b/shallotreel/reachwatch/reachwatch.go
@@ -169,6 +169,13 @@
 	watch.monitor.Accepted(time.Now())
 }
 
+// NoHelper records that no other instance serves requests while the path is lost.
+func (watch *Watch) NoHelper() {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	watch.monitor.NoHelper()
+}
+
 // LostFor returns for how long the path has been lost, or 0 if it is not.
 func (watch *Watch) LostFor(now time.Time) time.Duration {
 	watch.mutex.Lock()
