--- a/shallotreel/ingress/fleet_test.go
+++ b/shallotreel/ingress/fleet_test.go
@@ -83,6 +83,8 @@
 
 // check checks the promises after a session.
 func (fleet *simulatedFleet) check(crashing bool) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
 	fleet.checkServed()
 	fleet.checkArrivals()
 	fleet.checkBudget()
