Calls: a request that waited for its connection is sent with the time that is left, or not at all

Cause: the time left is encoded when an attempt begins; a connection may take up to a second, and the attempt goes on for .3 s after its request has ended. Now the request is encoded anew once the connection is open, and nothing is sent after the caller's time.

--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -34,7 +34,10 @@
 	MaxBody         int64                  // bytes of the response body, 0 for the default
 	RequireFresh    bool                   // whether to avoid connections idle for over a second, which may fail; set for requests that must not be repeated
 	MatchesResponse func(http.Header) bool // reports whether the response with the header answers this request
-	Done            func(Result)           // receives the result; called exactly once
+	// Refresh returns the serialized request as of now, for a call that had to wait for its connection, or false if it is too late to
+	// send it; nil if Request does not change.
+	Refresh func(now time.Time) ([]byte, bool)
+	Done    func(Result) // receives the result; called exactly once
 
 	finished   atomic.Bool
 	cancel     context.CancelFunc // cancels the dial
@@ -64,9 +67,22 @@
 // ErrConnectionLimit is the error of a call to a target that accepts no more connections.
 var ErrConnectionLimit = errors.New("the target accepts no more connections")
 
+// ErrTooLate is the error of a call whose connection was opened too late, so that nothing was sent.
+var ErrTooLate = errors.New("the connection was opened too late")
+
 // ErrCanceled is the error of a call that ended by Cancel.
 var ErrCanceled = errors.New("call canceled")
 
+// refresh renews the request after the call has waited for its connection. It reports false if it is too late.
+func (call *Call) refresh() bool {
+	if call.Refresh == nil {
+		return true
+	}
+	request, ok := call.Refresh(time.Now())
+	call.Request = request
+	return ok
+}
+
 func (call *Call) finish(result Result) {
 	if call.finished.CompareAndSwap(false, true) { // Cancel does not wait for Done, which may take some time
 		call.Done(result)
@@ -231,6 +247,11 @@
 		call.finish(Result{Err: ErrConnectionLimit})
 		return
 	}
+	if !call.refresh() {
+		conn.Close()
+		call.finish(Result{Err: ErrTooLate})
+		return
+	}
 	pool.mutex.Lock()
 	canceled := call.canceled
 	if !canceled {
--- a/shallotreel/ingress/handler_test.go
+++ b/shallotreel/ingress/handler_test.go
@@ -48,6 +48,7 @@
 type fixture struct {
 	handler *Handler
 	records *records
+	view    *catalogue.View
 	runs    atomic.Int64 // requests that targets received
 	tracker *quarantine.Tracker
 	leaving sync.Map // targets that said so, by id
@@ -78,8 +79,13 @@
 }
 
 func (fixture *fixture) serve(targetCatalogue *catalogue.Catalogue) {
-	pool := connpool.NewPool()
-	view := fixed{targetCatalogue.View(), &fixture.leaving}
+	fixture.view = targetCatalogue.View()
+	fixture.serveOver(connpool.NewPool())
+}
+
+// serveOver starts a handler with the pool, for the targets of serve.
+func (fixture *fixture) serveOver(pool *connpool.Pool) {
+	view := fixed{fixture.view, &fixture.leaving}
 	limits := extra.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 58}
 	router := NewRouter(view, pool, limits, member.Member{Name: "front", DataCentre: "a"}, rand.New(rand.NewPCG(1, 2)), func(choice.HealthChange) {})
 	fixture.tracker = &quarantine.Tracker{}
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -144,6 +144,10 @@
 		Suspicion: suspicion})
 	call := &connpool.Call{Address: target.Address, Method: run.outbound.Method, MaxBody: maxBody(run.plan.Route), RequireFresh: !run.plan.Route.Idempotent,
 		Request: run.outbound.EncodeAttempt(target.ID, send.Deadline.Sub(now)), MatchesResponse: run.outbound.EchoedIn}
+	call.Refresh = func(now time.Time) ([]byte, bool) {
+		left := send.Deadline.Sub(now)
+		return run.outbound.EncodeAttempt(target.ID, left), left > 0
+	}
 	call.Done = func(ended connpool.Result) { run.handleResult(send, ended) }
 	run.calls[send.AttemptID] = call
 	run.handler.pool.Start(call)
@@ -191,6 +195,8 @@
 		switch ended.Err {
 		case connpool.ErrCanceled:
 			return answer, choice.Report{}, choice.Abandoned
+		case connpool.ErrTooLate:
+			return answer, choice.Report{}, choice.Abandoned
 		case connpool.ErrConnectionLimit:
 			return answer, choice.Report{}, choice.ConnectionsExhausted
 		default:
--- a/shallotreel/reachwatch/reachwatch.go
+++ b/shallotreel/reachwatch/reachwatch.go
@@ -101,6 +101,9 @@
 		watch.monitor.Answered(now, id, target)
 	case ended.Err == connpool.ErrCanceled:
 		watch.monitor.Abandoned(now, id, target)
+	case ended.Err == connpool.ErrTooLate:
+		watch.monitor.Abandoned(now, id, target)
+		watch.monitor.Accepted(now)
 	default:
 		watch.monitor.Failed(now, id, target, ended.Sent || ended.Err == connpool.ErrConnectionLimit)
 		if ended.Listens == connpool.Accepted {
