--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -5,10 +5,8 @@
 	"maps"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,69 +24,6 @@
 	maxDialBackoff = 240 * time.Millisecond // limit of the average delay, which doubles with each further reset
 )
 
-// Call is one request to a target.
-type Call struct {
-	Address         netip.AddrPort         // of the target
-	Method          string                 // HTTP method of the request
-	Request         []byte                 // serialized request
-	MaxBody         int64                  // bytes of the response body, 0 for the default
-	RequireFresh    bool                   // whether to avoid connections idle for over a second, which may fail; set for requests that must not be repeated
-	MatchesResponse func(http.Header) bool // reports whether the response with the header answers this request
-	// Refresh returns the serialized request as of now, for a call that had to wait for its connection, or false if it is too late to
-	// send it; nil if Request does not change.
-	Refresh func(now time.Time) ([]byte, bool)
-	Done    func(Result) // receives the result; called exactly once
-
-	finished   atomic.Bool
-	cancel     context.CancelFunc // cancels the dial
-	connection *connection        // guarded by the pool's mutex
-	canceled   bool               // whether Cancel was called; guarded by the pool's mutex
-}
-
-// Result is the outcome of a call.
-type Result struct {
-	Sent     bool           // whether any part of the request may have reached the target
-	Listens  Listens        // whether the target's process accepts connections after a failed call
-	Response *http.Response // nil if Err is not nil
-	Body     []byte         // complete body of the response
-	Err      error          // nil if the response is complete and names the request
-}
-
-// Listens says whether a target accepts connections.
-type Listens int
-
-// Values of Listens.
-const (
-	Unknown  Listens = iota // not tried, or no answer in time
-	Accepted                // the target accepted a connection and kept it open
-	Refused                 // nothing listens at its address: its process has ended
-)
-
-// ErrConnectionLimit is the error of a call to a target that accepts no more connections.
-var ErrConnectionLimit = errors.New("the target accepts no more connections")
-
-// ErrTooLate is the error of a call whose connection was opened too late, so that nothing was sent.
-var ErrTooLate = errors.New("the connection was opened too late")
-
-// ErrCanceled is the error of a call that ended by Cancel.
-var ErrCanceled = errors.New("call canceled")
-
-// refresh renews the request after the call has waited for its connection. It reports false if it is too late.
-func (call *Call) refresh() bool {
-	if call.Refresh == nil {
-		return true
-	}
-	request, ok := call.Refresh(time.Now())
-	call.Request = request
-	return ok
-}
-
-func (call *Call) finish(result Result) {
-	if call.finished.CompareAndSwap(false, true) { // Cancel does not wait for Done, which may take some time
-		call.Done(result)
-	}
-}
-
 // Pool keeps the connections to all targets. Its methods may be called from several goroutines at once.
 type Pool struct {
 	mutex    sync.Mutex
--- a/shallotreel/ingress/simulated_network_test.go
+++ b/shallotreel/ingress/simulated_network_test.go
@@ -130,26 +130,26 @@
 
 // simulatedTarget is a target that records what arrives.
 type simulatedTarget struct {
-	fleet   *simulatedFleet
-	id      string
-	service string
-	address netip.AddrPort
-	mutex   sync.Mutex
-	downTil time.Time
-	conns   map[net.Conn]bool
+	fleet     *simulatedFleet
+	id        string
+	service   string
+	address   netip.AddrPort
+	mutex     sync.Mutex
+	downUntil time.Time
+	conns     map[net.Conn]bool
 }
 
 func (target *simulatedTarget) isUp() bool {
 	target.mutex.Lock()
 	defer target.mutex.Unlock()
-	return !time.Now().Before(target.downTil)
+	return !time.Now().Before(target.downUntil)
 }
 
 // crash ends the target's process for some time.
 func (target *simulatedTarget) crash() {
 	target.mutex.Lock()
 	defer target.mutex.Unlock()
-	target.downTil = time.Now().Add(simulatedDowntime)
+	target.downUntil = time.Now().Add(simulatedDowntime)
 	for conn := range target.conns {
 		conn.Close()
 	}
