One place for requests that the HTTP transport must not repeat; one for announcements of a member

Cause: the clients of callers and of targets built the same request with the same reasoning, the state machine of membership repeated the announcement of a changed description four times, and one branch of classifyRunError returned what the next line returns. Change: package jsonhttp, Machine.announce. Behaviour is the same, but that the caller's requests now name their content type. Tests of reel/target, caller, member, fleet and shallotreel/entry pass.

--- a/reel/caller/client.go
+++ b/reel/caller/client.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -16,6 +15,7 @@
 
 	"github.com/go-faster/errors"
 
+	"shallotreel.example/reel/jsonhttp"
 	"shallotreel.example/reel/result"
 )
 
@@ -302,18 +302,12 @@
 	return nil
 }
 
-// post sends the request body in JSON. The body has no GetBody, so that the HTTP transport cannot resend it.
+// post sends the request body in JSON once and returns the answer.
 func (client *Client) post(ctx context.Context, instance netip.AddrPort, path string, body Request) (Answer, error) {
-	data, err := json.Marshal(body)
+	request, err := jsonhttp.NewPost(ctx, "http://"+instance.String()+path, body)
 	if err != nil {
-		return Answer{}, errors.Wrap(err, "encode request")
+		return Answer{}, err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+instance.String()+path,
-		io.NopCloser(bytes.NewReader(data)))
-	if err != nil {
-		return Answer{}, errors.Wrap(err, "build request")
-	}
-	request.ContentLength = int64(len(data))
 	var answer Answer
 	return answer, client.do(request, &answer)
 }
--- a/reel/member/member.go
+++ b/reel/member/member.go
@@ -107,15 +107,13 @@
 		return Output{}
 	}
 	machine.self.State = Alive
-	machine.incrementVersion()
-	return Output{Sends: machine.gossip()}
+	return machine.announce()
 }
 
 // Leave changes the state of this instance to leaving and announces it to the peers.
 func (machine *Machine) Leave(_ time.Time) Output {
 	machine.self.State = Leaving
-	machine.incrementVersion()
-	return Output{Sends: machine.gossip()}
+	return machine.announce()
 }
 
 // SetLoad changes the load of this instance and announces it to the peers.
@@ -124,8 +122,7 @@
 		return Output{}
 	}
 	machine.self.Load = load
-	machine.incrementVersion()
-	return Output{Sends: machine.gossip()}
+	return machine.announce()
 }
 
 // SetPathLost changes whether this instance reaches no target and announces it to the peers.
@@ -134,6 +131,11 @@
 		return Output{}
 	}
 	machine.self.PathLost = lost
+	return machine.announce()
+}
+
+// announce tells the peers of a change of this instance's own description.
+func (machine *Machine) announce() Output {
 	machine.incrementVersion()
 	return Output{Sends: machine.gossip()}
 }
--- a/reel/target/client.go
+++ b/reel/target/client.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -9,11 +8,11 @@
 	"net/http"
 	"net/netip"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"shallotreel.example/reel/jsonhttp"
 	"shallotreel.example/reel/result"
 )
 
@@ -93,20 +92,12 @@
 	return report, err
 }
 
-// post sends the body in JSON and decodes the response into reply. It sets neither GetBody nor an idempotency header,
-// so the HTTP transport cannot send the request twice.
+// post sends the body in JSON once and decodes the response into reply.
 func (client *Client) post(ctx context.Context, path string, body, reply any) error {
-	data, err := json.Marshal(body)
+	request, err := jsonhttp.NewPost(ctx, client.base+path, body)
 	if err != nil {
-		return errors.Wrap(err, "encode request")
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, client.base+path,
-		io.NopCloser(bytes.NewReader(data)))
-	if err != nil {
-		return errors.Wrap(err, "build request")
+		return err
 	}
-	request.ContentLength = int64(len(data))
-	request.Header.Set("Content-Type", "application/json")
 	response, err := client.http.Do(request)
 	if err != nil {
 		return err
@@ -135,9 +126,5 @@
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
 		return &result.Error{Code: result.DeadlineExceeded, Ran: result.RanUnknown, Detail: err.Error()}
 	}
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
-		return &result.Error{Code: result.Broken, Ran: result.RanUnknown, Detail: err.Error()}
-	}
 	return &result.Error{Code: result.Broken, Ran: result.RanUnknown, Detail: err.Error()}
 }
