--- a/reel/catalogue/catalogue.go
+++ b/reel/catalogue/catalogue.go
@@ -40,10 +40,11 @@
 type View struct {
 	Configuration *Configuration // nil before the first version
 	services      map[string][]Target
+	evacuation    evacuationView
 	Serial        uint64 // serial of the catalogue, which increases with each change
 }
 
-// Targets returns the targets of the service that take new work, ordered by ID.
+// Targets returns the targets of the service that take new work, ordered by ID. Targets of evacuated data centres do not.
 func (view *View) Targets(service string) []Target {
 	return view.services[service]
 }
@@ -54,6 +55,7 @@
 	configuration       *Configuration
 	configurationSerial uint64 // serial at which the configuration took effect
 	entries             map[string]*entry
+	evacuations         evacuations
 	storeFailing        bool      // whether the latest call to the store failed
 	storeRecoveredAt    time.Time // when the store last answered after a failure, zero if never
 	serial              uint64
@@ -76,7 +78,7 @@
 
 // New returns an empty catalogue.
 func New() *Catalogue {
-	return &Catalogue{entries: map[string]*entry{}}
+	return &Catalogue{entries: map[string]*entry{}, evacuations: evacuations{states: map[string]*evacuationState{}}}
 }
 
 // Configure applies the configuration. It reports false and does nothing if its version is not newer than the current
@@ -161,8 +163,10 @@
 	return Change{Target: id, Kind: kind, Ended: !existing.Leaving && existing.unusableAt.Equal(now)}, true
 }
 
-// BeginListing starts a full listing of the targets; EndListing removes the targets not registered in between.
+// BeginListing starts a full listing; EndListing removes the targets not registered in between, and EndEvacuationListing ends
+// the evacuations that it lacks.
 func (catalogue *Catalogue) BeginListing() {
+	catalogue.beginEvacuationListing()
 	for _, entry := range catalogue.entries {
 		entry.listed = false
 	}
@@ -207,8 +211,9 @@
 }
 
 // Tick removes targets whose registration expired and that did not register again in time, deletes old tombstones, and
-// returns the changes.
+// returns the changes. It ends evacuations that were retained for long enough.
 func (catalogue *Catalogue) Tick(now time.Time) []Change {
+	catalogue.tickEvacuations(now)
 	var changes []Change
 	for _, id := range catalogue.ids() {
 		entry := catalogue.entries[id]
@@ -235,19 +240,29 @@
 	if catalogue.view != nil {
 		return catalogue.view
 	}
-	view := &View{Configuration: catalogue.configuration, services: map[string][]Target{}, Serial: catalogue.serial}
+	view := &View{Configuration: catalogue.configuration, services: map[string][]Target{}, evacuation: catalogue.evacuationView(),
+		Serial: catalogue.serial}
 	for _, entry := range catalogue.entries {
-		if !entry.Leaving && entry.presumedAlive() {
+		switch {
+		case entry.Leaving || !entry.presumedAlive():
+		case view.IsEvacuated(entry.DataCentre):
+			view.evacuation.evacuated[entry.Service] = append(view.evacuation.evacuated[entry.Service], entry.Target)
+		default:
 			view.services[entry.Service] = append(view.services[entry.Service], entry.Target)
 		}
 	}
-	for _, targets := range view.services {
-		slices.SortFunc(targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
-	}
+	sortByID(view.services)
+	sortByID(view.evacuation.evacuated)
 	catalogue.view = view
 	return view
 }
 
+func sortByID(services map[string][]Target) {
+	for _, targets := range services {
+		slices.SortFunc(targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
+
 // changed advances the serial and discards the cached view; entry is the target that changed, or nil.
 func (catalogue *Catalogue) changed(entry *entry) {
 	catalogue.serial++
