Warm-up: cold targets get their part of a configured rate, or a load that rises

Targets that have just started, or whose data centre has returned to service, got their usual load at once and crashed under it. cold_left_ms, Cold-Ms, cold_s and cold_rate_s are decoded; reel/warmup keeps what is known of each process, and choice leaves out a cold target for which no request of this instance's part is left.

--- a/reel/catalogue/catalogue.go
+++ b/reel/catalogue/catalogue.go
@@ -26,6 +26,9 @@
 	Leaving    bool   // whether it drains and takes no new work
 	Born       int64  // start of the process in milliseconds since the Unix epoch, 0 if not reported
 	Seq        uint64 // increases with each report of one process
+	// ColdLeft is how long the target was still cold at ColdAt, which is zero if it is unknown.
+	ColdLeft time.Duration
+	ColdAt   time.Time // when the instance that reads the store read the registration, by its clock
 }
 
 // Change is a change to one target in the catalogue.
@@ -116,9 +119,13 @@
 	target.Leaving = target.Leaving || sameProcess && existing.Leaving
 	altered := wasRemoved || existing.Leaving != target.Leaving || existing.Address != target.Address ||
 		existing.Service != target.Service || existing.Born != target.Born || existing.DataCentre != target.DataCentre
+	coldChanged := target.coldDiffers(existing.Target)
+	if !coldChanged && (!altered || sameProcess && target.ColdAt.IsZero()) {
+		target.ColdLeft, target.ColdAt = existing.ColdLeft, existing.ColdAt // as published, so that small differences add up
+	}
 	existing.Target = target
 	existing.removedAt, existing.unusableAt = time.Time{}, time.Time{}
-	if !altered {
+	if !altered && !coldChanged {
 		return Change{}, false
 	}
 	catalogue.changed(existing)
@@ -128,6 +135,8 @@
 		change.Kind = "leaving"
 	case wasRemoved:
 		change.Kind = "registered again"
+	case !altered:
+		change.Kind = "cold period changed"
 	}
 	return change, true
 }
--- a/reel/catalogue/configuration.go
+++ b/reel/catalogue/configuration.go
@@ -42,7 +42,9 @@
 // Service is the operator's configuration for the targets of one service.
 type Service struct {
 	Name           string
-	MaxConnections int // maximum number of connections to one target, from all instances together
+	MaxConnections int           // maximum number of connections to one target, from all instances together
+	WarmUp         time.Duration // for which a target is cold after its start, 0 if not configured
+	ColdRate       float64       // requests a second that a cold target takes from all instances together, 0 if not configured
 }
 
 // Limits are the bounds on requests and connections of callers.
--- a/reel/choice/health.go
+++ b/reel/choice/health.go
@@ -10,9 +10,11 @@
 	LatencyFactor float64       // moving average of the target's latency relative to the median of the route
 	FailureRate   float64       // moving average of the target's failures, from 0 to 1
 	LongestWait   time.Duration // age of the target's oldest attempt in flight, for Unresponsive; time without requests, for Quiet
-	Limit         Limit         // of the target, for Limited and LimitEnded
+	Limit         Limit         // of the target, for Limited and LimitEnded; the rate of a cold target, for Cold and Warm
 	Part          float64       // requests a second of the limit that this instance may send, 0 if it takes turns
 	Members       int           // instances that share the limit, for Limited
+	Evidence      string        // by which a target is believed to be cold or warm, for Cold and Warm
+	EvidenceAge   time.Duration // since it was got
 	UnservedShare float64       // share of the service's requests that get no target in time; set for services only
 }
 
@@ -26,6 +28,8 @@
 	Quiet             = "wants no requests for a time"
 	Limited           = "takes a limited rate of requests"
 	LimitEnded        = "takes any rate of requests"
+	Cold              = "is cold"
+	Warm              = "is warm"
 	Saturated         = "most requests get no target in time"
 	NoLongerSaturated = "most requests get a target in time"
 	maxHealthChanges  = 256 // changes kept until TakeHealthChanges; further ones are dropped
@@ -33,6 +37,7 @@
 
 // TakeHealthChanges returns and clears the changes recorded since the last call.
 func (selector *Selector) TakeHealthChanges() []HealthChange {
+	selector.addColdChanges()
 	healthChanges := selector.healthChanges
 	selector.healthChanges = nil
 	return healthChanges
--- a/reel/choice/quiet.go
+++ b/reel/choice/quiet.go
@@ -25,17 +25,13 @@
 		FailureRate: targetHealth.failureRate, LongestWait: until.Sub(now)})
 }
 
-// QuietFor returns for how long all of the targets take no request from this instance, because they said so or because of
-// their limits. It is 0 if any of them takes one or there are none.
+// QuietFor returns for how long all of the targets take no request from this instance, because they said so, because of
+// their limits, or because of the rates of cold ones. It is 0 if any of them takes one or there are none.
 func (selector *Selector) QuietFor(now time.Time, targets []catalogue.Target) time.Duration {
 	var shortest time.Duration
 	for _, target := range targets {
-		targetHealth, ok := selector.targets[target.ID]
-		if !ok {
-			return 0
-		}
-		left := selector.limitWait(now, target, targets)
-		if targetHealth.isQuiet(now, target) {
+		left := max(selector.limitWait(now, target, targets), selector.warmup.Wait(now, target))
+		if targetHealth, ok := selector.targets[target.ID]; ok && targetHealth.isQuiet(now, target) {
 			left = max(left, targetHealth.quietUntil.Sub(now))
 		}
 		if left == 0 {
--- a/reel/choice/selector.go
+++ b/reel/choice/selector.go
@@ -1,12 +1,12 @@
 package choice
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"shallotreel.example/reel/catalogue"
+	"shallotreel.example/reel/warmup"
 )
 
 const (
@@ -25,6 +25,7 @@
 	windowCutInterval   = 100 * time.Millisecond // minimum time between two reductions, so that the first one can take effect
 	loadReportTTL       = 300 * time.Millisecond // age above which a load report is ignored
 	remoteCost          = 3.0                    // cost added to targets of other data centres, in usual latencies of the route
+	coldCost            = 0.5                    // cost added to a target at the begin of its warm-up: above the jitter, below remoteCost
 	nearConnectionShare = 0.7                    // share of a target's connections for the instances of its own data centre
 	workingShare        = 0.9                    // share of a target's connections for the instances that serve callers, if there are others
 	farConnectionShare  = 0.3                    // share for all other instances, which seldom need all of theirs at once
@@ -39,10 +40,13 @@
 
 // Report is what a target says of itself with an answer.
 type Report struct {
-	Load    *Load         // nil if the answer has none
-	Leaving bool          // whether the target takes no new work from now on
-	Quiet   time.Duration // for which the target wants no further request from this instance
-	Limit   *Limit        // nil if the answer does not tell
+	Load    *Load          // nil if the answer has none
+	Leaving bool           // whether the target takes no new work from now on
+	Quiet   time.Duration  // for which the target wants no further request from this instance
+	Limit   *Limit         // nil if the answer does not tell
+	Cold    *time.Duration // for which the target is still cold, nil if the answer does not tell
+	NoCold  bool           // whether the answer was read and has no report of a cold period
+	Broken  bool           // whether the connection broke or could not be opened, so that the process may have ended
 }
 
 // Outcome is the result of an attempt as far as it concerns the health of its target.
@@ -71,6 +75,9 @@
 	// unservedRates has an entry for each service of which some request got no target in time.
 	unservedRates map[string]*unservedRate
 	healthChanges []HealthChange // changes not yet returned by TakeHealthChanges
+	senders       *warmup.Senders
+	warmup        *warmup.Tracker
+	coldHeld      uint64 // times that a target was left out because of its warm-up
 }
 
 // targetHealth holds the statistics of one target.
@@ -109,7 +116,7 @@
 // New returns a Selector without statistics, for a fleet of one instance.
 func New(random *rand.Rand) *Selector {
 	return &Selector{targets: map[string]*targetHealth{}, latencies: map[string]*latencyHistogram{}, random: random,
-		unservedRates: map[string]*unservedRate{}, fleet: Fleet{Total: 1}}
+		unservedRates: map[string]*unservedRate{}, fleet: Fleet{Total: 1}, warmup: warmup.New(warmup.NewSenders(warmup.Member{}))}
 }
 
 // SetFleet sets the instances that share the connections of the targets.
@@ -123,121 +130,6 @@
 	return selector.fleet
 }
 
-// Pick is a selected target and the name of its grade, such as "good" or "probe".
-type Pick struct {
-	Target  catalogue.Target
-	Grade   string
-	Limited string // ID of a target that was left out because of its limit, empty if none was
-}
-
-// Choose selects a target for an attempt of the route among the candidates that were not tried and for which
-// hasCapacity returns true. It reports false if none of them is usable and has a free connection.
-//
-// The better grade wins. Within a grade the lowest cost wins; it grows with latency and load, and is higher for targets
-// of other data centres.
-func (selector *Selector) Choose(now time.Time, route *catalogue.Route, candidates []catalogue.Target, service catalogue.Service, tried []string, hasCapacity func(catalogue.Target) bool) (Pick, bool) {
-	var best catalogue.Target
-	bestScore := score{grade: unusable}
-	limited := ""
-	for _, target := range candidates {
-		if slices.Contains(tried, target.ID) || !hasCapacity(target) {
-			continue
-		}
-		if selector.limitWait(now, target, candidates) > 0 {
-			limited = target.ID
-			continue
-		}
-		limit := selector.ConnectionLimit(target, service, candidates)
-		if len(tried) > 0 {
-			limit += reservedConnections
-		}
-		score := selector.score(now, route, target, limit)
-		if score.grade == suspect {
-			selector.noteUnresponsive(now, target.ID, selector.targetHealth(target.ID))
-		}
-		if score.less(bestScore) {
-			best, bestScore = target, score
-		}
-	}
-	if bestScore.grade >= full {
-		return Pick{}, false
-	}
-	if bestScore.grade == probe {
-		selector.targetHealth(best.ID).probedAt = now
-	}
-	return Pick{best, bestScore.grade.String(), limited}, true
-}
-
-// grade ranks the health of a target; a lower value is better.
-type grade int
-
-const (
-	probe grade = iota // slow, and due for an attempt that shows whether it has recovered
-	good
-	slow     // latency or failure rate above its threshold
-	suspect  // an attempt has been unanswered for longer than the suspicion timeout
-	failing  // failed within the failure backoff
-	full     // no free connection, or the window of attempts in flight is exhausted
-	unusable // another process uses its address, or the target wants no request for now
-)
-
-var gradeNames = []string{"probe", "good", "slow", "suspect", "failing", "full", "unusable"}
-
-func (grade grade) String() string { return gradeNames[grade] }
-
-// score orders candidates by grade, then by cost.
-type score struct {
-	grade grade
-	cost  float64
-}
-
-func (score score) less(other score) bool {
-	return cmp.Or(cmp.Compare(score.grade, other.grade), cmp.Compare(score.cost, other.cost)) < 0
-}
-
-func (selector *Selector) score(now time.Time, route *catalogue.Route, target catalogue.Target, limit int) score {
-	targetHealth := selector.targetHealth(target.ID)
-	local := target.DataCentre == selector.fleet.DataCentre
-	cost := targetHealth.latencyFactor * (1 + selector.load(now, targetHealth, target))
-	if !local {
-		cost += remoteCost
-	}
-	cost += selector.random.Float64() * 0.2 // random jitter spreads attempts over equal targets
-	return score{selector.grade(now, route, target, targetHealth, limit), cost}
-}
-
-func (selector *Selector) grade(now time.Time, route *catalogue.Route, target catalogue.Target, targetHealth *targetHealth, limit int) grade {
-	switch {
-	case now.Sub(targetHealth.misdirectedAt) < misdirectedBackoff && targetHealth.misdirected.Address == target.Address && targetHealth.misdirected.Born == target.Born:
-		return unusable
-	case targetHealth.isQuiet(now, target):
-		return unusable
-	case len(targetHealth.inFlight) >= limit || targetHealth.window > 0 && float64(len(targetHealth.inFlight)) >= targetHealth.window:
-		return full
-	case targetHealth.consecutiveFailures > 0 && now.Sub(targetHealth.failedAt) < failureBackoff*time.Duration(min(targetHealth.consecutiveFailures, 4)):
-		return failing
-	case selector.unresponsive(now, route, targetHealth):
-		return suspect
-	case targetHealth.healthy():
-		return good
-	case len(targetHealth.inFlight) == 0 && now.Sub(targetHealth.probedAt) >= probeInterval && target.DataCentre == selector.fleet.DataCentre:
-		return probe
-	default:
-		return slow
-	}
-}
-
-// load estimates the target's load as a multiple of its slots, from the attempts in flight here and from a recent load
-// report. Requests in the target's queue count twice.
-func (selector *Selector) load(now time.Time, targetHealth *targetHealth, target catalogue.Target) float64 {
-	slots := max(target.Slots, 1)
-	busy := float64(len(targetHealth.inFlight))
-	if now.Sub(targetHealth.loadAt) < loadReportTTL {
-		busy = max(busy, float64(targetHealth.load.Running+2*targetHealth.load.Waiting))
-	}
-	return busy / float64(slots)
-}
-
 // RecordSent records an attempt that was sent to the target with the given ID.
 func (selector *Selector) RecordSent(now time.Time, targetID string, attempt Attempt) {
 	targetHealth := selector.targetHealth(targetID)
@@ -269,6 +161,7 @@
 	if report.Limit != nil {
 		selector.noteLimit(now, target, targetHealth, attempt.SentAt, *report.Limit)
 	}
+	selector.noteCold(now, target, attempt.SentAt, report)
 	latencyHistogram := selector.latencyHistogram(attempt.Route)
 	waited := now.Sub(attempt.SentAt)
 	switch outcome {
@@ -344,6 +237,7 @@
 		return
 	}
 	selector.sweptAt = now
+	selector.warmup.Sweep(now)
 	for service, unservedRate := range selector.unservedRates {
 		if now.Sub(unservedRate.updatedAt) >= idleTTL {
 			delete(selector.unservedRates, service)
--- a/reel/member/pull.go
+++ b/reel/member/pull.go
@@ -76,6 +76,10 @@
 	machine.complete = machine.complete || message.Complete
 }
 
+// Complete reports whether this process should know all members: a peer that knows them has sent them, or it has known peers for
+// startTime.
+func (machine *Machine) Complete() bool { return machine.complete }
+
 // hasStarted reports whether the process that sent the description was not known before.
 func (machine *Machine) hasStarted(from Member) bool {
 	known, ok := machine.members[from.Name]
--- a/reel/quota/bucket.go
+++ b/reel/quota/bucket.go
@@ -15,10 +15,14 @@
 	tokens   float64
 	filledAt time.Time
 	used     int64 // the newest turn in which a request was sent
+	burst    time.Duration
 }
 
 // NewBucket returns a bucket without a part, which holds the given number of requests once it has one.
-func NewBucket(requests float64) *Bucket { return &Bucket{tokens: requests} }
+func NewBucket(requests float64) *Bucket { return &Bucket{tokens: requests, burst: burstTime} }
+
+// NewStrictBucket returns a bucket like NewBucket that never saves up more than one request.
+func NewStrictBucket(requests float64) *Bucket { return &Bucket{tokens: requests} }
 
 // Part returns the part of the bucket.
 func (bucket *Bucket) Part() Part { return bucket.part }
@@ -75,7 +79,7 @@
 	bucket.filledAt = now
 	capacity := 0.0
 	if bucket.part.Rate > 0 {
-		capacity = 1 + bucket.part.Rate*burstTime.Seconds()
+		capacity = 1 + bucket.part.Rate*bucket.burst.Seconds()
 	}
 	bucket.tokens = min(bucket.tokens, capacity)
 }
--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -208,6 +208,7 @@
 			Warn("registration ignored")
 		return
 	}
+	target.ColdAt = now
 	if change, ok := feed.catalogue.Register(target); ok {
 		feed.logChanges(change)
 	}
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -140,7 +140,7 @@
 	var err error
 	front.roster, err = roster.Listen(front.ctx, front.system, roster.Config{Self: front.self, Seeds: config.Seeds,
 		Log: front.log, Random: random(), OnChange: front.setMembers, Tracker: tracker, OnMark: front.logMark,
-		OnMarksKnown: front.markMarksKnown})
+		OnMarksKnown: front.markMarksKnown, OnComplete: func() { front.router.MembersComplete(time.Now()) }})
 	if err != nil {
 		return err
 	}
@@ -232,6 +232,8 @@
 	case choice.LimitEnded:
 		front.scope.Counter("limits_ended").Inc(1)
 		fields["limit_per_second"] = float64(change.Limit)
+	case choice.Cold, choice.Warm:
+		addColdFields(fields, change)
 	}
 	if !front.healthLines.Allow(time.Now()) {
 		front.scope.Counter("health_lines_dropped").Inc(1)
@@ -299,6 +301,7 @@
 	front.scope.Gauge("store_calls").Update(float64(front.feed.StoreCalls()))
 	front.scope.Gauge("members").Update(float64(len(front.roster.Members())))
 	front.scope.Gauge("running").Update(float64(front.handler.Running()))
+	front.updateColdGauges(time.Now())
 }
 
 // Reload applies the changed settings that can change while the process runs: seeds,
--- a/shallotreel/ingress/router.go
+++ b/shallotreel/ingress/router.go
@@ -12,6 +12,7 @@
 	"shallotreel.example/reel/extra"
 	"shallotreel.example/reel/member"
 	"shallotreel.example/reel/softdeadline"
+	"shallotreel.example/reel/warmup"
 	"shallotreel.example/reel/workingset"
 	"shallotreel.example/shallotreel/connpool"
 )
@@ -34,6 +35,7 @@
 	home           member.Member             // name and data centre of this instance
 	slack          extra.Shares
 	idle           bool // whether this instance is outside the working set
+	senders        *warmup.Senders
 }
 
 // NewRouter returns a router without traffic statistics for the instance home. It calls
@@ -41,6 +43,8 @@
 func NewRouter(catalogue Catalogue, pool *connpool.Pool, limits extra.Limits, home member.Member, random *rand.Rand, onHealthChange func(choice.HealthChange)) *Router {
 	router := &Router{catalogue: catalogue, pool: pool, limits: limits, selector: choice.New(random), onHealthChange: onHealthChange,
 		budgets: map[string]*extra.Budget{}, rotations: map[string]*rotation{}, estimator: softdeadline.New(), home: home}
+	router.senders = warmup.NewSenders(warmup.Member{Name: home.Name, DataCentre: home.DataCentre})
+	router.selector.SetSenders(router.senders)
 	router.selector.SetFleet(choice.Fleet{Name: home.Name, DataCentre: home.DataCentre, Instances: map[string]int{home.DataCentre: 1}, Total: 1,
 		Members: []choice.FleetMember{{Name: home.Name, DataCentre: home.DataCentre}}})
 	return router
@@ -71,6 +75,7 @@
 	working := workingset.ExpectedSize(members)
 	router.slack.SetInstances(working, len(members)-working)
 	router.selector.SetFleet(fleet)
+	router.senders.Update(time.Now(), sendersOf(members, sets))
 }
 
 // Choose picks a target of the service that has free capacity and was not tried; it reports false if there is none.
@@ -78,6 +83,7 @@
 	view := router.catalogue.View()
 	router.mutex.Lock()
 	defer router.unlockAndNotify()
+	router.selector.SetReturns(view)
 	hasCapacity := func(target catalogue.Target) bool { return router.pool.CanStart(now, target.Address) }
 	return router.selector.Choose(now, route, view.Targets(service), view.Configuration.Services[service], tried, hasCapacity)
 }
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -200,7 +200,7 @@
 		case connpool.ErrConnectionLimit:
 			return answer, choice.Report{}, choice.ConnectionsExhausted
 		default:
-			return answer, choice.Report{}, choice.Failed
+			return answer, choice.Report{Broken: ended.Sent || ended.Listens == connpool.Refused}, choice.Failed
 		}
 	}
 	answer, report := run.outbound.ParseResponse(ended.Response, ended.Body)
--- a/shallotreel/roster/roster.go
+++ b/shallotreel/roster/roster.go
@@ -22,9 +22,10 @@
 	maxPushes       = 5 // of new marks at once after a pause; each tick allows one more
 	markFanout      = 4 // random peers that receive new marks at once
 	tickPeriod      = 100 * time.Millisecond
-	seedPeriodAlone = 300 * time.Millisecond // between pings to the seeds while no peer is known
-	seedPeriod      = 5 * time.Second        // between pings to the seeds otherwise, which reunite a partitioned fleet
-	maxDatagram     = 64 << 10               // bytes
+	seedPeriodAlone = 300 * time.Millisecond   // between pings to the seeds while no peer is known
+	seedPeriod      = 5 * time.Second          // between pings to the seeds otherwise, which reunite a partitioned fleet
+	aloneTime       = seedPeriod + time.Second // after which an instance without seeds is the only one: others would have pinged it as their seed
+	maxDatagram     = 64 << 10                 // bytes
 )
 
 // Roster maintains the members of the fleet. One actor owns the state machine of the
@@ -45,7 +46,9 @@
 	marks        *replication.Machine
 	onMark       func(mark quarantine.Mark, peer string)
 	onMarksKnown func() // nil once it was called
-	pushes       int    // of marks that are allowed before the next tick
+	onComplete   func() // nil once it was called
+	startedAt    time.Time
+	pushes       int // of marks that are allowed before the next tick
 }
 
 // Messages of the actor.
@@ -70,6 +73,8 @@
 	OnMark   func(mark quarantine.Mark, peer string) // called for each mark that a peer sent and that changed one here
 	// OnMarksKnown is called once this instance knows the marks of its peers, or has waited for them in vain; may be nil.
 	OnMarksKnown func()
+	// OnComplete is called once this instance should know all members; may be nil. One whose seeds do not answer does not.
+	OnComplete func()
 }
 
 // Listen returns a roster with an open UDP socket at the peer address of config.Self.
@@ -82,7 +87,8 @@
 	roster := &Roster{ctx: ctx, root: system.Root, conn: conn, log: config.Log, seeds: config.Seeds,
 		name: config.Self.Name, dataCentre: config.Self.DataCentre,
 		machine: member.New(config.Self, config.Random), onChange: config.OnChange,
-		marks: replication.New(config.Tracker), onMark: config.OnMark, onMarksKnown: config.OnMarksKnown}
+		marks: replication.New(config.Tracker), onMark: config.OnMark, onMarksKnown: config.OnMarksKnown, onComplete: config.OnComplete,
+		startedAt: time.Now()}
 	roster.publish()
 	return roster, nil
 }
@@ -213,6 +219,7 @@
 	}
 	roster.announceMarksKnown()
 	roster.publish()
+	roster.announceComplete(now)
 }
 
 // announceMarksKnown calls onMarksKnown once.
@@ -227,6 +234,16 @@
 	roster.onMarksKnown = nil
 }
 
+// announceComplete calls onComplete once.
+func (roster *Roster) announceComplete(now time.Time) {
+	isAlone := !roster.hasSeeds() && now.Sub(roster.startedAt) >= aloneTime
+	if roster.onComplete == nil || !roster.machine.Complete() && !isAlone {
+		return
+	}
+	roster.onComplete()
+	roster.onComplete = nil
+}
+
 // hasSeeds reports whether the seeds name another instance.
 func (roster *Roster) hasSeeds() bool {
 	self := roster.machine.Self().Peer
