--- a/reel/choice/selector.go
+++ b/reel/choice/selector.go
@@ -75,7 +75,6 @@
 	// unservedRates has an entry for each service of which some request got no target in time.
 	unservedRates map[string]*unservedRate
 	healthChanges []HealthChange // changes not yet returned by TakeHealthChanges
-	senders       *warmup.Senders
 	warmup        *warmup.Tracker
 	coldHeld      uint64 // times that a target was left out because of its warm-up
 }
--- a/reel/quota/bucket.go
+++ b/reel/quota/bucket.go
@@ -5,6 +5,9 @@
 const (
 	// burstTime is the time for which an instance can save up its part of the rate, beyond a single request.
 	burstTime = 250 * time.Millisecond
+	// strictBurstTime is that time for a rate that no single second may exceed by much. It makes up for requests that come a
+	// little late.
+	strictBurstTime = 25 * time.Millisecond
 	// handoverTime is the time after which an instance uses a part that another one held, which may not know that yet.
 	handoverTime = time.Second
 )
@@ -21,8 +24,10 @@
 // NewBucket returns a bucket without a part, which holds the given number of requests once it has one.
 func NewBucket(requests float64) *Bucket { return &Bucket{tokens: requests, burst: burstTime} }
 
-// NewStrictBucket returns a bucket like NewBucket that never saves up more than one request.
-func NewStrictBucket(requests float64) *Bucket { return &Bucket{tokens: requests} }
+// NewStrictBucket returns a bucket like NewBucket that saves up hardly more than one request.
+func NewStrictBucket(requests float64) *Bucket {
+	return &Bucket{tokens: requests, burst: strictBurstTime}
+}
 
 // Part returns the part of the bucket.
 func (bucket *Bucket) Part() Part { return bucket.part }
--- a/reel/quota/fleet_test.go
+++ b/reel/quota/fleet_test.go
@@ -229,3 +229,16 @@
 		}
 	}
 }
+
+// TestStrictBucket guards against a part that is saved up during a pause and spent within one second.
+func TestStrictBucket(t *testing.T) {
+	bucket := NewStrictBucket(1)
+	bucket.SetPart(epoch, PartOf(20))
+	now, sent := epoch.Add(time.Minute), 0
+	for ; bucket.Wait(now) == 0; sent++ {
+		bucket.Take(now)
+	}
+	if sent != 1 {
+		t.Errorf("%d requests at once after a pause, want 1", sent)
+	}
+}
--- a/reel/warmup/senders.go
+++ b/reel/warmup/senders.go
@@ -89,11 +89,12 @@
 		return
 	}
 	known.lostAt = time.Time{}
-	if !member.Idle {
+	wasBusy := ok && !known.Idle
+	if wasBusy || !member.Idle {
 		known.busyAt = now
-		if !ok || known.Idle {
-			known.since = now
-		}
+	}
+	if !wasBusy && !member.Idle {
+		known.since = now
 	}
 	known.Member = member
 }
--- a/reel/warmup/warmup.go
+++ b/reel/warmup/warmup.go
@@ -72,13 +72,13 @@
 
 // Load returns the load that the target of the service may get now.
 func (tracker *Tracker) Load(now time.Time, target catalogue.Target, service catalogue.Service) Load {
-	returnedAt, returned := tracker.returnedAt(target.DataCentre)
+	returnedAt := tracker.returnedAt(target.DataCentre)
 	process := tracker.observe(now, target, service, returnedAt)
 	if process == nil {
 		return warm
 	}
 	load := warm
-	if returned {
+	if !returnedAt.IsZero() {
 		load.Return = returnShare(now.Sub(returnedAt), process.warmUp)
 	}
 	tracker.note(now, target.ID, process)
@@ -262,11 +262,16 @@
 	process.bucket.SetPart(now, quota.PartOf(process.part))
 }
 
-func (tracker *Tracker) returnedAt(dataCentre string) (time.Time, bool) {
+// returnedAt returns when the data centre returned to service, zero if it did not.
+func (tracker *Tracker) returnedAt(dataCentre string) time.Time {
 	if tracker.view == nil {
-		return time.Time{}, false
+		return time.Time{}
+	}
+	at, returned := tracker.view.ReturnedAt(dataCentre)
+	if !returned {
+		return time.Time{}
 	}
-	return tracker.view.ReturnedAt(dataCentre)
+	return at
 }
 
 // returnShare returns the share of its usual load that a target gets the given time after the return of its data centre. It rises
