Warm-up: instances that start in one part of a cut fleet count the other part

Such an instance dropped what its peers told of dead members, and would have used the parts of rates that those may still use. It now keeps them for ten minutes, apart from the members, and holds no part while two lost instances of its data centre may not know it.

--- a/reel/member/member.go
+++ b/reel/member/member.go
@@ -31,8 +31,9 @@
 	seq           uint64
 	probes        map[uint64]*probe
 	relays        map[uint64]relay
-	timed         map[string]bool // names of suspect and dead members, whose state changes after a timeout
-	version       uint64          // incremented whenever a member changes
+	timed         map[string]bool   // names of suspect and dead members, whose state changes after a timeout
+	lost          map[string]*entry // members that were dead before this process knew them
+	version       uint64            // incremented whenever a member changes
 	lastProbe     time.Time
 	lastFarProbe  time.Time
 	lastDeadProbe time.Time
@@ -65,7 +66,7 @@
 // New returns the state machine of an instance that knows no other member.
 func New(self Member, random *rand.Rand) *Machine {
 	machine := &Machine{self: self, random: random, members: map[string]*entry{},
-		probes: map[uint64]*probe{}, relays: map[uint64]relay{}, timed: map[string]bool{}}
+		probes: map[uint64]*probe{}, relays: map[uint64]relay{}, timed: map[string]bool{}, lost: map[string]*entry{}}
 	machine.broadcast(self)
 	return machine
 }
@@ -217,6 +218,7 @@
 			continue
 		}
 		if !ok && update.State == Dead {
+			machine.noteLost(now, update)
 			continue
 		}
 		machine.store(now, update)
@@ -300,6 +302,7 @@
 	}
 	machine.members[member.Name] = &entry{member, now}
 	delete(machine.timed, member.Name)
+	delete(machine.lost, member.Name)
 	if member.State == Suspect || member.State == Dead {
 		machine.timed[member.Name] = true
 	}
--- a/reel/member/probe.go
+++ b/reel/member/probe.go
@@ -117,6 +117,7 @@
 	for _, name := range slices.Sorted(maps.Keys(machine.timed)) {
 		machine.checkStateTimeout(now, name, output)
 	}
+	machine.forgetLost(now)
 }
 
 // sendPingRequests returns requests to random peers to ping the member.
--- a/reel/warmup/fleet_test.go
+++ b/reel/warmup/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,17 +25,19 @@
 
 // instance is one sender of a simulated fleet. It knows the others by messages that take some time or, across a cut, are lost.
 type instance struct {
-	name    string
-	centre  string
-	side    int // of the cut
-	idle    bool
-	gone    bool
-	skew    time.Duration // of its clock
-	demand  float64       // requests a second that it would send
-	due     float64
-	senders *Senders
-	tracker *Tracker
-	seesAt  time.Time // when it learns of the newest change
+	name     string
+	centre   string
+	side     int // of the cut
+	idle     bool
+	gone     bool
+	skew     time.Duration // of its clock
+	demand   float64       // requests a second that it would send
+	due      float64
+	senders  *Senders
+	tracker  *Tracker
+	seesAt   time.Time // when it learns of the newest change
+	isListed bool      // whether it got a list of the members
+	told     []string  // names on the list
 }
 
 // fleet is the instances that send to one cold target.
@@ -57,12 +60,31 @@
 	fleet.instances = append(fleet.instances, joined)
 	joined.senders.Update(joined.clock(fleet.now), []Member{joined.member()})
 	if listed {
-		joined.senders.Update(joined.clock(fleet.now), fleet.members(joined))
-		joined.senders.Complete(joined.clock(fleet.now))
+		fleet.list(joined)
 	}
 	fleet.changed()
 }
 
+// list tells the instance what one on its side knows, also of lost ones. Without such an instance it gets no list, unless it is the
+// first of all.
+func (fleet *fleet) list(joined *instance) {
+	for _, peer := range fleet.instances {
+		if peer != joined && !peer.gone && peer.isListed && (!fleet.cut || peer.side == joined.side) {
+			for name := range peer.senders.known {
+				joined.told = append(joined.told, name)
+			}
+			joined.isListed = true
+			break
+		}
+	}
+	if !joined.isListed && len(fleet.instances) > 1 {
+		return
+	}
+	joined.isListed = true
+	joined.senders.Update(joined.clock(fleet.now), fleet.members(joined))
+	joined.senders.Complete(joined.clock(fleet.now))
+}
+
 func (instance *instance) clock(now time.Time) time.Time { return now.Add(instance.skew) }
 
 func (instance *instance) member() Member {
@@ -75,7 +97,8 @@
 	for _, other := range fleet.instances {
 		member := other.member()
 		member.Lost = other.gone || fleet.cut && other.side != viewer.side
-		if _, known := viewer.senders.known[other.name]; known || !member.Lost {
+		_, known := viewer.senders.known[other.name]
+		if known || !member.Lost || slices.Contains(viewer.told, other.name) {
 			members = append(members, member)
 		}
 	}
@@ -174,7 +197,7 @@
 			chosen := fleet.instances[rapid.IntRange(0, len(fleet.instances)-1).Draw(t, "instance")]
 			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0:
-				add(!fleet.cut)
+				add(true)
 			case 1:
 				add(false)
 			case 2:
--- a/reel/warmup/senders.go
+++ b/reel/warmup/senders.go
@@ -14,6 +14,9 @@
 	spreadTime = 3 * time.Second
 	// lostRetention is the time for which a lost instance keeps its part: it may run and send, cut off from this one.
 	lostRetention = 10 * time.Minute
+	// maxStrangers is the number of lost instances in the data centre that may not know this one, up to which it holds parts. Each
+	// of them may use one that this instance holds, too.
+	maxStrangers = 1
 	// leavingRetention is that time for an instance that was leaving when it was lost, and will have ended by then.
 	leavingRetention = time.Minute
 )
@@ -35,6 +38,7 @@
 	divided   *quota.Division
 	counted   []quota.Sender
 	dividedAt time.Time
+	strangers int    // lost instances in the own data centre that may not know this one
 	version   uint64 // increases when the division may have changed
 }
 
@@ -55,6 +59,7 @@
 func (senders *Senders) Complete(now time.Time) {
 	if senders.readyAt.IsZero() {
 		senders.readyAt = now
+		senders.divide(now)
 	}
 }
 
@@ -102,11 +107,15 @@
 // divide computes the division again, and deletes senders that no longer count.
 func (senders *Senders) divide(now time.Time) {
 	var counted []quota.Sender
+	senders.strangers = 0
 	for name, sender := range senders.known {
 		if !sender.lostAt.IsZero() && now.Sub(sender.lostAt) >= sender.retention() {
 			delete(senders.known, name)
 			continue
 		}
+		if senders.isStranger(sender) {
+			senders.strangers++
+		}
 		counted = append(counted, quota.Sender{Name: name, DataCentre: sender.DataCentre, Idle: sender.isIdle(now)})
 	}
 	senders.dividedAt = now
@@ -118,6 +127,12 @@
 	senders.version++
 }
 
+// isStranger reports whether the sender was lost before it certainly knew this instance, whose part it does not count.
+func (senders *Senders) isStranger(sender *sender) bool {
+	return sender.DataCentre == senders.self.DataCentre && !sender.Leaving && !sender.lostAt.IsZero() &&
+		(senders.readyAt.IsZero() || sender.lostAt.Before(senders.readyAt.Add(spreadTime)))
+}
+
 // retention returns for how long the sender counts after it was lost.
 func (sender *sender) retention() time.Duration {
 	if sender.Leaving {
@@ -141,7 +156,7 @@
 // mayHold reports whether the other instances know that this one may hold a part of a rate.
 func (senders *Senders) mayHold(now time.Time) bool {
 	self, ok := senders.known[senders.self.Name]
-	return ok && !self.Idle && !senders.readyAt.IsZero() && now.Sub(senders.readyAt) >= spreadTime && now.Sub(self.since) >= spreadTime
+	return ok && !self.Idle && senders.strangers <= maxStrangers && !senders.readyAt.IsZero() && now.Sub(senders.readyAt) >= spreadTime && now.Sub(self.since) >= spreadTime
 }
 
 // part returns this instance's part of the rate of the target in requests a second.
--- a/reel/warmup/senders_test.go
+++ b/reel/warmup/senders_test.go
@@ -22,6 +22,13 @@
 	second := func(change func(member *Member)) func([]Member) {
 		return func(members []Member) { change(&members[1]) }
 	}
+	others := func(change func(member *Member)) func([]Member) {
+		return func(members []Member) {
+			for i := range members[1:] {
+				change(&members[1+i])
+			}
+		}
+	}
 	self := func(change func(member *Member)) func([]Member) {
 		return func(members []Member) { change(&members[0]) }
 	}
@@ -39,6 +46,8 @@
 		{"the other one is not listed any more", members(2, nil), members(1, nil), time.Second, 10},
 		{"the other one was lost long ago", members(2, nil), members(2, second(lost)), -lostRetention, 20},
 		{"the other one was leaving when it was lost", members(2, second(func(member *Member) { member.Leaving = true })), members(2, second(lost)), -leavingRetention, 20},
+		{"two others were lost before they knew this one", members(3, nil), members(3, others(lost)), 2 * time.Second, 0},
+		{"two others knew this one before they were lost", members(3, nil), members(3, others(lost)), 5 * time.Second, 20.0 / 3},
 		{"the other one is idle", members(2, second(idle)), members(2, second(idle)), 0, 20},
 		{"an idle one is lost, and may serve where this one cannot see it", members(2, second(idle)), members(2, second(lost)), time.Second, 10},
 		{"the other one has just become idle", members(2, nil), members(2, second(idle)), 8 * time.Second, 10},
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -140,7 +140,8 @@
 	var err error
 	front.roster, err = roster.Listen(front.ctx, front.system, roster.Config{Self: front.self, Seeds: config.Seeds,
 		Log: front.log, Random: random(), OnChange: front.setMembers, Tracker: tracker, OnMark: front.logMark,
-		OnMarksKnown: front.markMarksKnown, OnComplete: func() { front.router.MembersComplete(time.Now()) }})
+		OnMarksKnown: front.markMarksKnown, OnComplete: func() { front.router.MembersComplete(time.Now()) },
+		OnLost: front.router.SetLost})
 	if err != nil {
 		return err
 	}
--- a/shallotreel/ingress/cold.go
+++ b/shallotreel/ingress/cold.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"slices"
 	"time"
 
 	"shallotreel.example/reel/member"
@@ -16,6 +17,19 @@
 	router.senders.Complete(now)
 }
 
+// SetLost sets the instances that were lost before this one started. They may run where it does not see them.
+func (router *Router) SetLost(members []member.Member) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.lost = sendersOf(members, nil)
+	router.updateSenders(time.Now())
+}
+
+// updateSenders passes on the members and the lost instances. The caller must hold the lock.
+func (router *Router) updateSenders(now time.Time) {
+	router.senders.Update(now, slices.Concat(router.lost, router.members))
+}
+
 // ColdTargets returns the targets that this instance treats as cold at now, ordered by ID.
 func (router *Router) ColdTargets(now time.Time) []warmup.ColdTarget {
 	router.mutex.Lock()
--- a/shallotreel/ingress/router.go
+++ b/shallotreel/ingress/router.go
@@ -36,6 +36,8 @@
 	slack          extra.Shares
 	idle           bool // whether this instance is outside the working set
 	senders        *warmup.Senders
+	members        []warmup.Member // as last passed to SetMembers
+	lost           []warmup.Member // as last passed to SetLost
 }
 
 // NewRouter returns a router without traffic statistics for the instance home. It calls
@@ -75,7 +77,8 @@
 	working := workingset.ExpectedSize(members)
 	router.slack.SetInstances(working, len(members)-working)
 	router.selector.SetFleet(fleet)
-	router.senders.Update(time.Now(), sendersOf(members, sets))
+	router.members = sendersOf(members, sets)
+	router.updateSenders(time.Now())
 }
 
 // Choose picks a target of the service that has free capacity and was not tried; it reports false if there is none.
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -168,7 +168,7 @@
 func (run *run) handleResult(send query.Send, ended connpool.Result) {
 	answer, report, outcome := run.classify(ended)
 	if (outcome == choice.Failed || outcome == choice.Abandoned) && run.handler.path.IsLost() {
-		outcome = choice.Inconclusive
+		outcome, report.Broken = choice.Inconclusive, false
 	}
 	answer.AttemptID = send.AttemptID
 	now := time.Now()
--- a/shallotreel/roster/roster.go
+++ b/shallotreel/roster/roster.go
@@ -47,6 +47,8 @@
 	onMark       func(mark quarantine.Mark, peer string)
 	onMarksKnown func() // nil once it was called
 	onComplete   func() // nil once it was called
+	onLost       func([]member.Member)
+	lost         []member.Member // as last passed to onLost
 	startedAt    time.Time
 	pushes       int // of marks that are allowed before the next tick
 }
@@ -69,6 +71,7 @@
 	Log      logrus.FieldLogger
 	Random   *rand.Rand
 	OnChange func([]member.Member)                   // called with all members after each change; may be nil
+	OnLost   func([]member.Member)                   // called with the members that were dead before this process knew them; may be nil
 	Tracker  *quarantine.Tracker                     // marks that are replicated between the instances
 	OnMark   func(mark quarantine.Mark, peer string) // called for each mark that a peer sent and that changed one here
 	// OnMarksKnown is called once this instance knows the marks of its peers, or has waited for them in vain; may be nil.
@@ -87,7 +90,7 @@
 	roster := &Roster{ctx: ctx, root: system.Root, conn: conn, log: config.Log, seeds: config.Seeds,
 		name: config.Self.Name, dataCentre: config.Self.DataCentre,
 		machine: member.New(config.Self, config.Random), onChange: config.OnChange,
-		marks: replication.New(config.Tracker), onMark: config.OnMark, onMarksKnown: config.OnMarksKnown, onComplete: config.OnComplete,
+		marks: replication.New(config.Tracker), onMark: config.OnMark, onMarksKnown: config.OnMarksKnown, onComplete: config.OnComplete, onLost: config.OnLost,
 		startedAt: time.Now()}
 	roster.publish()
 	return roster, nil
@@ -219,6 +222,7 @@
 	}
 	roster.announceMarksKnown()
 	roster.publish()
+	roster.announceLost()
 	roster.announceComplete(now)
 }
 
@@ -234,6 +238,16 @@
 	roster.onMarksKnown = nil
 }
 
+// announceLost calls onLost after each change.
+func (roster *Roster) announceLost() {
+	lost := roster.machine.Lost()
+	if roster.onLost == nil || slices.Equal(lost, roster.lost) {
+		return
+	}
+	roster.lost = lost
+	roster.onLost(lost)
+}
+
 // announceComplete calls onComplete once.
 func (roster *Roster) announceComplete(now time.Time) {
 	isAlone := !roster.hasSeeds() && now.Sub(roster.startedAt) >= aloneTime
