--- a/reel/catalogue/delta.go
+++ b/reel/catalogue/delta.go
@@ -11,15 +11,17 @@
 	Targets []Target // targets added or changed
 	Removed []string // IDs of the targets removed
 	// The following fields hold the configuration if it changed after the requested serial. Version is 0 otherwise.
-	Version  uint64
-	Routes   []Route
-	Services []Service
-	Limits   Limits
+	Version             uint64
+	Routes              []Route
+	Services            []Service
+	Limits              Limits
+	SupportsEvacuations bool             // whether the sender's build knows evacuations
+	Evacuations         *EvacuationDelta // nil if they did not change after the requested serial
 }
 
 // Since returns the changes after the serial, or the whole catalogue for a serial of 0.
-func (catalogue *Catalogue) Since(serial uint64) Delta {
-	delta := Delta{Serial: catalogue.serial}
+func (catalogue *Catalogue) Since(now time.Time, serial uint64) Delta {
+	delta := Delta{Serial: catalogue.serial, SupportsEvacuations: true, Evacuations: catalogue.EvacuationsSince(now, serial)}
 	for _, id := range catalogue.ids() {
 		entry := catalogue.entries[id]
 		switch {
@@ -43,6 +45,7 @@
 // listing, and targets that it does not contain are removed.
 func (catalogue *Catalogue) Apply(now time.Time, delta Delta, whole bool) []Change {
 	var changes []Change
+	catalogue.ApplyEvacuations(now, delta.Evacuations)
 	if whole {
 		catalogue.BeginListing()
 	}
--- a/reel/catalogue/evacuation.go
+++ b/reel/catalogue/evacuation.go
@@ -72,11 +72,17 @@
 // what is known has no effect.
 func (catalogue *Catalogue) TakeBack(now time.Time, dataCentre string, position cursor.Position) {
 	state := catalogue.evacuationState(dataCentre)
-	if position.Compare(state.position) >= 0 {
+	if state.endedBy(position) {
 		catalogue.endEvacuation(dataCentre, state, now, position, EvacuationEnded)
 	}
 }
 
+// endedBy reports whether a deletion at the position is news. At the same position, which a complete listing may have, the end counts.
+func (state *evacuationState) endedBy(position cursor.Position) bool {
+	order := position.Compare(state.position)
+	return order > 0 || order == 0 && state.active
+}
+
 // TakeEvacuationChanges returns the changes since the last call.
 func (catalogue *Catalogue) TakeEvacuationChanges() []EvacuationChange {
 	changes := catalogue.evacuations.changes
@@ -230,7 +236,9 @@
 // IsEvacuated reports whether the data centre is evacuated.
 func (view *View) IsEvacuated(dataCentre string) bool {
 	_, found := slices.BinarySearchFunc(view.evacuation.evacuations, dataCentre,
-		func(evacuation Evacuation, dataCentre string) int { return strings.Compare(evacuation.DataCentre, dataCentre) })
+		func(evacuation Evacuation, dataCentre string) int {
+			return strings.Compare(evacuation.DataCentre, dataCentre)
+		})
 	return found
 }
 
@@ -253,7 +261,9 @@
 }
 
 // EvacuatedTargets returns the targets of the service that take no work because of an evacuation, ordered by ID.
-func (view *View) EvacuatedTargets(service string) []Target { return view.evacuation.evacuated[service] }
+func (view *View) EvacuatedTargets(service string) []Target {
+	return view.evacuation.evacuated[service]
+}
 
 // EvacuatedServices returns the services that have no other targets than evacuated ones, in order.
 func (view *View) EvacuatedServices() []string {
--- a/reel/catalogue/property_test.go
+++ b/reel/catalogue/property_test.go
@@ -39,7 +39,7 @@
 
 // sync applies the changes since the last sync to the peer.
 func (model *model) sync() {
-	delta := model.reader.Since(model.serial)
+	delta := model.reader.Since(model.now, model.serial)
 	model.peer.StoreAnswered(model.now)
 	model.peer.Apply(model.now, delta, model.serial == 0)
 	model.serial = delta.Serial
--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -161,7 +161,7 @@
 			feed.logConfiguration("peer at startup", message.reply.Position())
 		}
 	case deltaRequest:
-		actorContext.Respond(feed.catalogue.Since(message.serial))
+		actorContext.Respond(feed.catalogue.Since(now, message.serial))
 		return
 	}
 	old := feed.view.Swap(feed.catalogue.View())
