Feed: evacuations from the store and from peers

Listings, watches and peers supply evacuations. An instance that starts is ready once it knows them, from a read of the store that is not stale or from a peer, and asks its peers for those that a restored store lacks. A peer of an older build is not followed, since its catalogue has none.

Run: go test ./feed ./cataloguesync

--- a/shallotreel/cataloguesync/cataloguesync.go
+++ b/shallotreel/cataloguesync/cataloguesync.go
@@ -13,6 +13,9 @@
 	"shallotreel.example/shallotreel/peerrpc"
 )
 
+// ErrUnsupported is returned by Client.Evacuations if the peer is of a build that does not know evacuations.
+var ErrUnsupported = errors.New("the peer does not know evacuations")
+
 // ErrTimeout is returned by Client.Fetch if the peer does not answer in time.
 var ErrTimeout = errors.New("the peer did not answer in time")
 
@@ -45,8 +48,17 @@
 	return cursor.Position{Era: reply.Era, Revision: reply.Store}
 }
 
+// EvacuationReply contains what a peer knows of evacuations.
+type EvacuationReply struct {
+	Evacuations catalogue.EvacuationDelta
+	Age         time.Duration // time since the store's state was last read
+}
+
 // Source answers queries from the catalogue of this instance.
-type Source interface{ Since(query Query) Reply }
+type Source interface {
+	Since(query Query) Reply
+	Evacuations() EvacuationReply
+}
 
 // Service is the net/rpc service that peers call.
 type Service struct{ source Source }
@@ -57,6 +69,12 @@
 	return nil
 }
 
+// Evacuations returns what this instance knows of evacuations; the query has no content. The error is always nil.
+func (service *Service) Evacuations(_ bool, reply *EvacuationReply) error {
+	*reply = service.source.Evacuations()
+	return nil
+}
+
 // NewService returns the net/rpc service that answers queries from the source.
 func NewService(source Source) peerrpc.Service {
 	return peerrpc.Service{Name: "Copies", New: func(context.Context) any { return &Service{source} }}
@@ -73,31 +91,50 @@
 // at most query.Hold plus timeout for the reply, after which it returns ErrTimeout. After
 // an error, the next call opens a new connection.
 func (client *Client) Fetch(peer netip.AddrPort, query Query, timeout time.Duration) (Reply, error) {
+	var reply Reply
+	if err := client.call(peer, "Copies.Since", query, &reply, timeout, query.Hold+timeout); err != nil {
+		return Reply{}, err
+	}
+	return reply, nil
+}
+
+// Evacuations asks the peer what it knows of evacuations. The error is ErrUnsupported if it is of a build that does not know them.
+func (client *Client) Evacuations(peer netip.AddrPort, timeout time.Duration) (EvacuationReply, error) {
+	var reply EvacuationReply
+	err := client.call(peer, "Copies.Evacuations", true, &reply, timeout, timeout)
+	var refused rpc.ServerError // such as that there is no such method
+	if errors.As(err, &refused) {
+		return EvacuationReply{}, ErrUnsupported
+	}
+	return reply, err
+}
+
+// call calls the method of the peer. It waits at most dialTimeout for a connection, and then at most timeout for the reply.
+func (client *Client) call(peer netip.AddrPort, method string, query, reply any, dialTimeout, timeout time.Duration) error {
 	if client.client != nil && client.peer != peer {
 		client.Close()
 	}
 	if client.client == nil {
-		connected, err := peerrpc.Dial(peer, timeout, timeout)
+		connected, err := peerrpc.Dial(peer, dialTimeout, dialTimeout)
 		if err != nil {
-			return Reply{}, err
+			return err
 		}
 		client.peer, client.client = peer, connected
 	}
-	var reply Reply
-	call := client.client.Go("Copies.Since", query, &reply, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(query.Hold + timeout)
+	call := client.client.Go(method, query, reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-call.Done:
 	case <-timer.C:
 		client.Close()
-		return Reply{}, ErrTimeout
+		return ErrTimeout
 	}
 	if call.Error != nil {
 		client.Close()
-		return Reply{}, errors.Wrap(call.Error, "query peer")
+		return errors.Wrap(call.Error, "query peer")
 	}
-	return reply, nil
+	return nil
 }
 
 // Close closes the connection, if one is open.
--- a/shallotreel/cataloguesync/cataloguesync_test.go
+++ b/shallotreel/cataloguesync/cataloguesync_test.go
@@ -20,6 +20,8 @@
 		Delta: catalogue.Delta{Serial: query.Serial + 1, Targets: []catalogue.Target{{ID: "one", Address: address}}}}
 }
 
+func (source source) Evacuations() EvacuationReply { return EvacuationReply{} }
+
 func serve(t *testing.T, source Source) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -38,10 +38,14 @@
 	mutex          sync.Mutex
 	changed        chan struct{} // closed at the next change and then replaced; guarded by mutex
 	storeFailing   bool
-	onReady        func() // called once, when the first configuration is applied
+	startup        startup
+	ready          atomic.Bool // whether onReady was called
+	onReady        func()      // called once, when requests can be routed
 	onTargetChange func(catalogue.Change)
 	leaving        []cataloguesync.Leaving // targets to report to the peer that reads the store; guarded by mutex
 	skipped        cursor.Position         // of the newest configuration in the store that was not applied
+	nameless       cursor.Position         // of the newest evacuation that names no data centre
+	outdatedPeer   netip.AddrPort          // peer of a build that does not know evacuations; only follow uses it
 }
 
 // Messages that the actor receives.
@@ -51,13 +55,19 @@
 	listPage   struct {
 		response    platform.StoreResponse
 		first, last bool
+		position    cursor.Position // of the first page
+		allowStale  bool            // whether the listing may be seconds old
 	}
-	watchEvents    struct{ response platform.StoreResponse }
-	storeRestored  struct{ from, to uint64 } // eras
-	targetsLeave   struct{ leaving []cataloguesync.Leaving }
-	peerDelta      struct{ reply cataloguesync.Reply }
-	bootstrapDelta struct{ reply cataloguesync.Reply } // possibly stale; used only until a configuration is applied
-	deltaRequest   struct{ serial uint64 }
+	watchEvents        struct{ response platform.StoreResponse }
+	evacuationsLearned struct {
+		reply *cataloguesync.EvacuationReply // nil if no peer can tell
+	}
+	evacuationsRequest struct{}
+	storeRestored      struct{ from, to uint64 } // eras
+	targetsLeave       struct{ leaving []cataloguesync.Leaving }
+	peerDelta          struct{ reply cataloguesync.Reply }
+	bootstrapDelta     struct{ reply cataloguesync.Reply } // possibly stale; used only until a configuration is applied
+	deltaRequest       struct{ serial uint64 }
 )
 
 // Peers reports which other instances can supply the catalogue.
@@ -95,6 +105,7 @@
 	go feed.tickPeriodically()
 	go feed.follow()
 	go feed.bootstrap()
+	go feed.learnEvacuations()
 }
 
 // View returns the current view of the catalogue, by which requests are routed.
@@ -123,6 +134,7 @@
 // receive handles one message of the actor and publishes the resulting view.
 func (feed *Feed) receive(actorContext actor.Context) {
 	now := time.Now()
+	source := sourceStore
 	switch message := actorContext.Message().(type) {
 	case tick:
 		feed.logChanges(feed.catalogue.Tick(now)...)
@@ -140,10 +152,13 @@
 		feed.apply(now, message.response)
 		if message.last {
 			feed.logChanges(feed.catalogue.EndListing(now)...)
+			feed.catalogue.EndEvacuationListing(now, message.position)
+			feed.startup.evacuationsKnown = feed.startup.evacuationsKnown || !message.allowStale
 		}
 	case watchEvents:
 		feed.storeAnswered(now)
 		feed.apply(now, message.response)
+		feed.startup.evacuationsKnown = true
 	case storeRestored:
 		feed.catalogue.StoreRestored(now)
 		feed.logRestored(message)
@@ -154,23 +169,34 @@
 			}
 		}
 	case peerDelta:
+		source = sourcePeer
 		feed.applyPeerDelta(now, message.reply)
 	case bootstrapDelta:
-		if feed.catalogue.Configuration() == nil {
-			feed.logChanges(feed.catalogue.Apply(now, message.reply.Delta, message.reply.Whole)...)
-			feed.logConfiguration("peer at startup", message.reply.Position())
-		}
+		source = sourceStartup
+		feed.applyBootstrapDelta(now, message.reply)
+	case evacuationsLearned:
+		source = sourceStartup
+		feed.applyPeerEvacuations(now, message.reply)
 	case deltaRequest:
 		actorContext.Respond(feed.catalogue.Since(now, message.serial))
 		return
+	case evacuationsRequest:
+		actorContext.Respond(*feed.catalogue.EvacuationsSince(now, 0))
+		return
 	}
-	old := feed.view.Swap(feed.catalogue.View())
-	if old.Serial != feed.View().Serial {
+	feed.publish(now, source)
+}
+
+// publish publishes the view of the catalogue after a change that the source has told.
+func (feed *Feed) publish(now time.Time, source string) {
+	current := feed.catalogue.View()
+	old := feed.view.Swap(current)
+	if old.Serial != current.Serial {
+		feed.logEvacuations(now, source)
+		feed.logEmptyServices(old, current)
 		feed.notifyWaiters()
 	}
-	if old.Configuration == nil && feed.View().Configuration != nil {
-		feed.onReady()
-	}
+	feed.checkReady()
 }
 
 // storeAnswered records that the store, or a peer that reads it, answered.
@@ -189,6 +215,8 @@
 	for _, item := range response.Items {
 		if id, ok := item.TargetID(); ok {
 			feed.applyTarget(now, id, item)
+		} else if dataCentre, ok := item.EvacuatedDataCentre(); ok {
+			feed.applyEvacuation(now, dataCentre, item, cursor.Position{Era: era, Revision: item.Revision})
 		} else if item.IsConfiguration() && !item.Deleted {
 			feed.applyConfiguration(item, cursor.Position{Era: era, Revision: item.Revision})
 		}
@@ -227,7 +255,7 @@
 			log.WithError(err).Error("configuration rejected; keeping the current version")
 		}
 	case feed.catalogue.Configure(configuration):
-		feed.logConfiguration("store", position)
+		feed.logConfiguration(sourceStore, position)
 	case configuration.Version < current.Version:
 		feed.skipped = position
 		if !skipped {
@@ -243,8 +271,19 @@
 	old := feed.catalogue.Configuration()
 	feed.logChanges(feed.catalogue.Apply(now, reply.Delta, reply.Whole)...)
 	if feed.catalogue.Configuration() != old {
-		feed.logConfiguration("peer", reply.Position())
+		feed.logConfiguration(sourcePeer, reply.Position())
 	}
+	feed.startup.evacuationsKnown = true
+}
+
+// applyBootstrapDelta applies the catalogue of a peer, unless something newer is known.
+func (feed *Feed) applyBootstrapDelta(now time.Time, reply cataloguesync.Reply) {
+	if feed.catalogue.Configuration() != nil {
+		return
+	}
+	feed.logChanges(feed.catalogue.Apply(now, reply.Delta, reply.Whole)...)
+	feed.logConfiguration(sourceStartup, reply.Position())
+	feed.startup.evacuationsKnown = reply.Delta.SupportsEvacuations
 }
 
 func (feed *Feed) logRestored(restored storeRestored) {
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"shallotreel.example/platform"
@@ -54,12 +55,22 @@
 }
 
 // bootstrapFromPeer loads the catalogue from the first serving peer whose catalogue is not older than ageLimit. It does
-// nothing once a configuration is applied. Later reads replace the loaded catalogue.
+// nothing once a configuration is applied. Later reads replace the loaded catalogue. A peer that does not know evacuations is used only if
+// the store has failed and no other of the first peers does.
 func (feed *Feed) bootstrapFromPeer(client *cataloguesync.Client, ageLimit time.Duration) {
 	if feed.View().Configuration != nil {
 		return
 	}
+	var fallback *cataloguesync.Reply
+	outdated := 0
 	for _, peer := range feed.peers.Serving() {
+		if outdated == maxAsked {
+			break
+		}
+		if ageLimit < anyAge && feed.isOutdated(client, peer) {
+			outdated++
+			continue
+		}
 		reply, err := client.Fetch(peer, cataloguesync.Query{}, peerTimeout)
 		if err != nil {
 			feed.log.WithError(err).WithField("peer", peer.String()).Warn("cannot read the catalogue of a peer")
@@ -68,15 +79,37 @@
 		if reply.Delta.Version == 0 || reply.Age > ageLimit {
 			continue
 		}
-		feed.log.WithFields(logrus.Fields{"peer": peer.String(), "age_ms": reply.Age.Milliseconds(),
-			"version": reply.Delta.Version}).Warn("store has not answered; starting with the catalogue of a peer")
-		feed.root.Send(feed.pid, bootstrapDelta{reply})
-		return
+		if reply.Delta.SupportsEvacuations {
+			feed.startWith(peer.String(), reply)
+			return
+		}
+		fallback = &reply
+		outdated++
 	}
+	if fallback != nil && ageLimit == anyAge {
+		feed.startWith("of an older build, which does not know evacuations", *fallback)
+	}
+}
+
+// startWith starts with the catalogue of the peer.
+func (feed *Feed) startWith(peer string, reply cataloguesync.Reply) {
+	feed.log.WithFields(logrus.Fields{"peer": peer, "age_ms": reply.Age.Milliseconds(),
+		"version": reply.Delta.Version}).Warn("store has not answered; starting with the catalogue of a peer")
+	feed.root.Send(feed.pid, bootstrapDelta{reply})
+}
+
+// isOutdated reports whether the peer is of a build that does not know evacuations. The question costs less than its whole catalogue.
+func (feed *Feed) isOutdated(client *cataloguesync.Client, peer netip.AddrPort) bool {
+	_, err := client.Evacuations(peer, peerTimeout)
+	return errors.Is(err, cataloguesync.ErrUnsupported)
 }
 
 // readPeer reads the next changes from the peer.
 func (feed *Feed) readPeer(cursor *cursor.Cursor, client *cataloguesync.Client, peer netip.AddrPort) {
+	if peer == feed.outdatedPeer && feed.isOutdated(client, peer) {
+		cursor.FailPeer(time.Now())
+		return
+	}
 	era, last := cursor.Position().Era, cursor.Peer()
 	query := cataloguesync.Query{Process: last.Process, Serial: last.Serial, Hold: peerPollTimeout,
 		Leaving: feed.takeLeaving()}
@@ -85,6 +118,9 @@
 	if err != nil {
 		cursor.FailPeer(time.Now())
 		feed.returnLeaving(query.Leaving)
+	} else if !reply.Delta.SupportsEvacuations {
+		feed.leaveOutdated(cursor, peer, reply)
+		return
 	} else {
 		pause, err = cursor.ReadPeer(time.Now(), describe(reply))
 	}
@@ -99,6 +135,14 @@
 	feed.sleep(pause)
 }
 
+// leaveOutdated makes this instance read the store itself, since the peer does not know evacuations. It is asked again from time to time.
+func (feed *Feed) leaveOutdated(cursor *cursor.Cursor, peer netip.AddrPort, reply cataloguesync.Reply) {
+	cursor.FailPeer(time.Now())
+	feed.outdatedPeer = peer
+	feed.log.WithFields(logrus.Fields{"peer": peer.String(), "age_ms": reply.Age.Milliseconds()}).
+		Warn("peer is of an older build, which does not know evacuations; reading the store")
+}
+
 // describe returns what the cursor needs to know of the reply.
 func describe(reply cataloguesync.Reply) cursor.PeerReply {
 	return cursor.PeerReply{Peer: cursor.Peer{Process: reply.Process, Serial: reply.Delta.Serial}, Whole: reply.Whole,
@@ -150,7 +194,9 @@
 			revision = response.Revision
 		}
 		last := !response.HasMore || response.LastKey == ""
-		feed.root.Send(feed.pid, listPage{response, first, last})
+		position := cursor.Position()
+		position.Revision = revision
+		feed.root.Send(feed.pid, listPage{response, first, last, position, allowStale})
 		if last {
 			return cursor.ReadAll(revision, allowStale), nil
 		}
@@ -180,7 +226,11 @@
 	if err != nil {
 		return response, err
 	}
-	return response, cursor.Accept(response.Era)
+	if err := cursor.Accept(response.Era); err != nil {
+		return response, err
+	}
+	response.Era = cursor.Position().Era // an answer may not tell it
+	return response, nil
 }
 
 // sleep waits for the pause or until the context ends.
--- a/shallotreel/feed/leaving.go
+++ b/shallotreel/feed/leaving.go
@@ -13,10 +13,7 @@
 // RecordLeaving records that the process of the target said in an answer that it leaves. The peer that reads the store
 // for this instance learns it with the next query, and passes it on with its catalogue.
 func (feed *Feed) RecordLeaving(target catalogue.Target) {
-	known := slices.ContainsFunc(feed.View().Targets(target.Service), func(other catalogue.Target) bool {
-		return other.ID == target.ID && other.Born == target.Born
-	})
-	if !known {
+	if !feed.View().Registered(target) {
 		return
 	}
 	leaving := cataloguesync.Leaving{ID: target.ID, Born: target.Born}
