Ingress: nothing is sent to evacuated data centres

The connection pool excludes the addresses of evacuated targets: for requests, also those whose connection was being opened when the evacuation began, and for connections that only show whether a target listens. Probes of the path leave them out. Their statistics are kept, and shares of limits are computed anew at the first choice after a change.

--- a/reel/catalogue/catalogue.go
+++ b/reel/catalogue/catalogue.go
@@ -246,7 +246,7 @@
 		switch {
 		case entry.Leaving || !entry.presumedAlive():
 		case view.IsEvacuated(entry.DataCentre):
-			view.evacuation.evacuated[entry.Service] = append(view.evacuation.evacuated[entry.Service], entry.Target)
+			view.evacuation.add(entry.Target)
 		default:
 			view.services[entry.Service] = append(view.services[entry.Service], entry.Target)
 		}
--- a/shallotreel/connpool/call.go
+++ b/shallotreel/connpool/call.go
@@ -54,6 +54,9 @@
 // ErrTooLate is the error of a call whose connection was opened too late, so that nothing was sent.
 var ErrTooLate = errors.New("the connection was opened too late")
 
+// ErrExcluded is the error of a call to an address that is excluded, so that nothing was sent.
+var ErrExcluded = errors.New("the address is excluded")
+
 // ErrCanceled is the error of a call that ended by Cancel.
 var ErrCanceled = errors.New("call canceled")
 
--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -34,6 +34,7 @@
 	open     int    // open connections
 	dials    uint64 // connections ever opened
 	connect  Dial
+	excluded func(netip.AddrPort) bool // see WithExclusion
 	// acceptanceWait is the time within which a target at its connection limit, or whose process ends, resets a connection.
 	acceptanceWait time.Duration
 }
@@ -55,10 +56,16 @@
 	return func(pool *Pool) { pool.connect = dial }
 }
 
+// WithExclusion makes the pool send nothing to addresses for which the function returns true, and open no connection to them.
+// Requests that were sent before are completed.
+func WithExclusion(excluded func(netip.AddrPort) bool) Option {
+	return func(pool *Pool) { pool.excluded = excluded }
+}
+
 // NewPool returns a pool without connections.
 func NewPool(options ...Option) *Pool {
 	pool := &Pool{idle: map[netip.AddrPort][]*connection{}, backoffs: map[netip.AddrPort]*dialBackoff{}, probes: map[netip.AddrPort]time.Time{},
-		connect: new(net.Dialer).DialContext, acceptanceWait: acceptanceWait}
+		connect: new(net.Dialer).DialContext, excluded: func(netip.AddrPort) bool { return false }, acceptanceWait: acceptanceWait}
 	for _, option := range options {
 		option(pool)
 	}
@@ -140,6 +147,9 @@
 // takeIdle assigns the most recently used idle connection to the call. It returns nil if there is none that may be
 // reused.
 func (pool *Pool) takeIdle(call *Call) *connection {
+	if pool.excluded(call.Address) {
+		return nil
+	}
 	now := time.Now()
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
@@ -165,6 +175,10 @@
 
 // dial opens a connection, sends the request and reads responses until the connection closes.
 func (pool *Pool) dial(ctx context.Context, call *Call) {
+	if pool.excluded(call.Address) {
+		call.finish(Result{Err: ErrExcluded})
+		return
+	}
 	conn, err := pool.connectTo(ctx, call.Address, dialTimeout)
 	if errors.Is(err, syscall.ECONNRESET) {
 		pool.recordReset(call.Address)
@@ -187,6 +201,11 @@
 		call.finish(Result{Err: ErrTooLate})
 		return
 	}
+	if pool.excluded(call.Address) { // since the dial began
+		conn.Close()
+		call.finish(Result{Err: ErrExcluded})
+		return
+	}
 	pool.mutex.Lock()
 	canceled := call.canceled
 	if !canceled {
@@ -207,6 +226,9 @@
 // close it soon after; a second one then shows whether it still listens.
 func (pool *Pool) listens(address netip.AddrPort) Listens {
 	for range 2 {
+		if pool.excluded(address) {
+			return Unknown
+		}
 		conn, err := pool.connectTo(context.Background(), address, refusalTimeout)
 		if errors.Is(err, syscall.ECONNRESET) {
 			continue
@@ -226,6 +248,9 @@
 
 // Accepts reports whether the target accepts a connection, which is closed at once.
 func (pool *Pool) Accepts(address netip.AddrPort) bool {
+	if pool.excluded(address) {
+		return false
+	}
 	conn, err := pool.connectTo(context.Background(), address, refusalTimeout)
 	if err != nil {
 		return false
--- a/shallotreel/crashwatch/crashwatch.go
+++ b/shallotreel/crashwatch/crashwatch.go
@@ -226,7 +226,7 @@
 // Refused records that the target refuses connections. Unless it is leaving or its registration has ended, its process has
 // crashed.
 func (watch *Watch) Refused(now time.Time, target catalogue.Target) {
-	if !watch.isRegistered(target) {
+	if !watch.catalogue.View().Registered(target) {
 		return
 	}
 	watch.mutex.Lock()
@@ -235,15 +235,6 @@
 	watch.record(now, attributions)
 }
 
-func (watch *Watch) isRegistered(target catalogue.Target) bool {
-	for _, registered := range watch.catalogue.View().Targets(target.Service) {
-		if registered.ID == target.ID {
-			return registered.Born == target.Born
-		}
-	}
-	return false
-}
-
 // TargetChanged compares a change in the catalogue with the attempts.
 func (watch *Watch) TargetChanged(now time.Time, change catalogue.Change) {
 	watch.mutex.Lock()
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -95,7 +95,8 @@
 func Start(config settings.Front, logger *logrus.Logger) (*Front, error) {
 	debug.SetGCPercent(gcPercent)
 	ctx, cancel := context.WithCancel(context.Background())
-	front := &Front{log: logger, ctx: ctx, cancel: cancel, pool: connpool.NewPool(), healthLines: linelimit.New(healthLinesPerSecond)}
+	front := &Front{log: logger, ctx: ctx, cancel: cancel, healthLines: linelimit.New(healthLinesPerSecond)}
+	front.pool = connpool.NewPool(connpool.WithExclusion(func(address netip.AddrPort) bool { return front.View().IsEvacuatedAddress(address) }))
 	front.settings.Store(&config)
 	front.openMetrics()
 	front.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
@@ -298,6 +299,7 @@
 	front.scope.Gauge("response_bytes_pending").Update(float64(front.pool.PendingBytes()))
 	front.scope.Gauge("store_calls").Update(float64(front.feed.StoreCalls()))
 	front.scope.Gauge("members").Update(float64(len(front.roster.Members())))
+	front.scope.Gauge("evacuations").Update(float64(len(front.View().Evacuations())))
 	front.scope.Gauge("running").Update(float64(front.handler.Running()))
 }
 
--- a/shallotreel/ingress/router.go
+++ b/shallotreel/ingress/router.go
@@ -33,7 +33,8 @@
 	onHealthChange func(choice.HealthChange) // called without the lock when the estimated health of a target or service changes
 	home           member.Member             // name and data centre of this instance
 	slack          extra.Shares
-	idle           bool // whether this instance is outside the working set
+	idle           bool   // whether this instance is outside the working set
+	evacuations    uint64 // serial of the evacuations at the last choice
 }
 
 // NewRouter returns a router without traffic statistics for the instance home. It calls
@@ -78,6 +79,7 @@
 	view := router.catalogue.View()
 	router.mutex.Lock()
 	defer router.unlockAndNotify()
+	router.noteEvacuations(view)
 	hasCapacity := func(target catalogue.Target) bool { return router.pool.CanStart(now, target.Address) }
 	return router.selector.Choose(now, route, view.Targets(service), view.Configuration.Services[service], tried, hasCapacity)
 }
@@ -90,10 +92,20 @@
 // QuietFor returns for how long all targets of the service take no request from this instance, as they asked, or 0 if any
 // takes one.
 func (router *Router) QuietFor(now time.Time, service string) time.Duration {
-	targets := router.catalogue.View().Targets(service)
+	view := router.catalogue.View()
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
-	return router.selector.QuietFor(now, targets)
+	router.noteEvacuations(view)
+	return router.selector.QuietFor(now, view.Targets(service))
+}
+
+// noteEvacuations has the shares of this instance computed anew if other data centres are evacuated than at the last choice. The
+// caller must hold the lock.
+func (router *Router) noteEvacuations(view *catalogue.View) {
+	if serial := view.EvacuationSerial(); serial != router.evacuations {
+		router.evacuations = serial
+		router.selector.CandidatesChanged()
+	}
 }
 
 // Saturated reports whether most recent requests to the service found no target with free capacity in time, and for
@@ -200,10 +212,14 @@
 	}
 }
 
-// Sweep removes the statistics of targets that were not used for long.
+// Sweep removes the statistics of targets that were not used for long, except evacuated ones, which return.
 func (router *Router) Sweep(now time.Time) {
+	view := router.catalogue.View()
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
+	for target := range view.EvacuatedTargets() {
+		router.selector.Keep(now, target.ID)
+	}
 	router.selector.Sweep(now)
 }
 
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -197,6 +197,8 @@
 			return answer, choice.Report{}, choice.Abandoned
 		case connpool.ErrTooLate:
 			return answer, choice.Report{}, choice.Abandoned
+		case connpool.ErrExcluded:
+			return answer, choice.Report{}, choice.Inconclusive
 		case connpool.ErrConnectionLimit:
 			return answer, choice.Report{}, choice.ConnectionsExhausted
 		default:
--- a/shallotreel/reachwatch/reachwatch.go
+++ b/shallotreel/reachwatch/reachwatch.go
@@ -135,7 +135,12 @@
 // ConfirmRefusal reports whether the target, which has refused a connection at the given time, still does so after another one has
 // accepted one, or if there is no other, so that its process has ended. It may take as long as some connections.
 func (watch *Watch) ConfirmRefusal(refusedAt time.Time, refusing netip.AddrPort) bool {
-	return watch.othersAccept(refusedAt, refusing) && !watch.prober.Accepts(refusing)
+	return watch.othersAccept(refusedAt, refusing) && watch.refuses(refusing)
+}
+
+// refuses reports whether the target refuses a connection. Of an evacuated one nothing is known, since it is not connected to.
+func (watch *Watch) refuses(target netip.AddrPort) bool {
+	return !watch.prober.Accepts(target) && !watch.catalogue.View().IsEvacuatedAddress(target)
 }
 
 // othersAccept reports whether another target has accepted a connection since the given time, or there is no other.
@@ -149,7 +154,8 @@
 		if watch.acceptedSince(refusedAt) {
 			return true
 		}
-		others := watch.randomTargets([]netip.AddrPort{refusing}, 1+confirmProbes)[1:]
+		others := slices.DeleteFunc(watch.randomTargets([]netip.AddrPort{refusing}, 1+confirmProbes),
+			func(address netip.AddrPort) bool { return address == refusing })
 		if len(others) == 0 {
 			return true
 		}
@@ -219,17 +225,23 @@
 	}
 }
 
-// connect connects to the targets and returns how many accepted the connection and how many did not.
+// connect connects to the targets and returns how many accepted the connection and how many did not. Those that are evacuated
+// meanwhile count as neither.
 func (watch *Watch) connect(targets []netip.AddrPort) (accepted, failed int) {
-	results := make(chan bool, len(targets))
+	type result struct{ accepts, refuses bool }
+	results := make(chan result, len(targets))
 	for _, target := range targets {
 		watch.counters.probes.Inc(1)
-		go func() { results <- watch.prober.Accepts(target) }()
+		go func() {
+			accepts := watch.prober.Accepts(target)
+			results <- result{accepts, !accepts && !watch.catalogue.View().IsEvacuatedAddress(target)}
+		}()
 	}
 	for range targets {
-		if <-results {
+		switch result := <-results; {
+		case result.accepts:
 			accepted++
-		} else {
+		case result.refuses:
 			failed++
 		}
 	}
@@ -239,6 +251,7 @@
 // randomTargets returns the given targets and random other ones up to the count, of different services if there are as many.
 func (watch *Watch) randomTargets(targets []netip.AddrPort, count int) []netip.AddrPort {
 	view := watch.catalogue.View()
+	targets = slices.DeleteFunc(slices.Clone(targets), view.IsEvacuatedAddress)
 	if view.Configuration == nil {
 		return targets
 	}
