--- a/reel/catalogue/evacuation.go
+++ b/reel/catalogue/evacuation.go
@@ -60,10 +60,24 @@
 // Evacuate applies a write of the evacuation of the data centre at the position of the store. A write that is older than
 // what is known has no effect.
 func (catalogue *Catalogue) Evacuate(now time.Time, dataCentre string, position cursor.Position) {
-	state := catalogue.evacuationState(dataCentre)
-	state.listed = true
-	if position.Compare(state.position) > 0 {
-		catalogue.beginEvacuation(dataCentre, state, now, position)
+	catalogue.applyWrite(now, dataCentre, now, position)
+	if state, ok := catalogue.evacuations.states[dataCentre]; ok {
+		state.listed = true
+	}
+}
+
+// applyWrite applies a write at the position, unless something newer is known. A write that the newest complete listing should have
+// had, but lacks, was deleted before it.
+func (catalogue *Catalogue) applyWrite(now time.Time, dataCentre string, since time.Time, position cursor.Position) {
+	read := catalogue.evacuations.read
+	state, ok := catalogue.evacuations.states[dataCentre]
+	isMissing := position.Era == read.Era && position.Revision <= read.Revision
+	switch {
+	case ok && position.Compare(state.position) <= 0:
+	case !isMissing:
+		catalogue.beginEvacuation(dataCentre, catalogue.evacuationState(dataCentre), since, position)
+	case ok && state.active:
+		catalogue.endEvacuation(dataCentre, state, now, read, EvacuationEnded)
 	}
 }
 
--- a/reel/catalogue/evacuationdelta.go
+++ b/reel/catalogue/evacuationdelta.go
@@ -45,12 +45,12 @@
 	if delta == nil {
 		return
 	}
-	active := map[string]bool{}
+	listed := map[string]bool{}
 	for _, peer := range delta.States {
-		active[peer.DataCentre] = peer.Active
+		listed[peer.DataCentre] = peer.Active && peer.Position.Era >= delta.Read.Era // the peer retains others, which the store lacks
 		catalogue.applyEvacuation(now, peer, delta.Read.Era)
 	}
-	catalogue.endMissing(now, delta.Read, func(dataCentre string) bool { return active[dataCentre] })
+	catalogue.endMissing(now, delta.Read, func(dataCentre string) bool { return listed[dataCentre] })
 }
 
 // applyEvacuation applies the state that a peer knows of one data centre; the peer has read the store in the era.
@@ -61,16 +61,11 @@
 		return
 	}
 	read := catalogue.evacuations.read
-	state, ok := catalogue.evacuations.states[peer.DataCentre]
-	if !ok || peer.Position.Compare(state.position) > 0 {
-		isMissing := peer.Position.Era == read.Era && peer.Position.Compare(read) <= 0
-		if era < read.Era || isMissing {
-			return
-		}
-		state = catalogue.evacuationState(peer.DataCentre)
-		catalogue.beginEvacuation(peer.DataCentre, state, since, peer.Position)
+	if era >= read.Era {
+		catalogue.applyWrite(now, peer.DataCentre, since, peer.Position)
 	}
-	if state.active && state.position == peer.Position && state.position.Era < max(era, read.Era) {
+	state, ok := catalogue.evacuations.states[peer.DataCentre]
+	if ok && state.active && state.position == peer.Position && state.position.Era < max(era, read.Era) {
 		catalogue.retainEvacuation(now, peer.DataCentre, state, retentionOf(peer))
 	}
 }
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -175,6 +175,7 @@
 func (feed *Feed) checkEra(before uint64, cursor *cursor.Cursor) {
 	if now := cursor.Position().Era; now > before && before > 0 {
 		feed.root.Send(feed.pid, storeRestored{before, now})
+		go feed.learnEvacuations() // peers may have seen one end since the restore
 	}
 }
 
