--- a/reel/catalogue/evacuation.go
+++ b/reel/catalogue/evacuation.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"shallotreel.example/reel/cursor"
@@ -61,10 +60,24 @@
 // Evacuate applies a write of the evacuation of the data centre at the position of the store. A write that is older than
 // what is known has no effect.
 func (catalogue *Catalogue) Evacuate(now time.Time, dataCentre string, position cursor.Position) {
-	state := catalogue.evacuationState(dataCentre)
-	state.listed = true
-	if position.Compare(state.position) > 0 {
-		catalogue.beginEvacuation(dataCentre, state, now, position)
+	catalogue.applyWrite(now, dataCentre, now, position)
+	if state, ok := catalogue.evacuations.states[dataCentre]; ok {
+		state.listed = true
+	}
+}
+
+// applyWrite applies a write at the position, unless something newer is known. A write that the newest complete listing should have
+// had, but lacks, was deleted before it.
+func (catalogue *Catalogue) applyWrite(now time.Time, dataCentre string, since time.Time, position cursor.Position) {
+	read := catalogue.evacuations.read
+	state, ok := catalogue.evacuations.states[dataCentre]
+	isMissing := position.Era == read.Era && position.Revision <= read.Revision
+	switch {
+	case ok && position.Compare(state.position) <= 0:
+	case !isMissing:
+		catalogue.beginEvacuation(dataCentre, catalogue.evacuationState(dataCentre), since, position)
+	case ok && state.active:
+		catalogue.endEvacuation(dataCentre, state, now, read, EvacuationEnded)
 	}
 }
 
@@ -72,11 +85,17 @@
 // what is known has no effect.
 func (catalogue *Catalogue) TakeBack(now time.Time, dataCentre string, position cursor.Position) {
 	state := catalogue.evacuationState(dataCentre)
-	if position.Compare(state.position) >= 0 {
+	if state.endedBy(position) {
 		catalogue.endEvacuation(dataCentre, state, now, position, EvacuationEnded)
 	}
 }
 
+// endedBy reports whether a deletion at the position is news. At the same position, which a complete listing may have, the end counts.
+func (state *evacuationState) endedBy(position cursor.Position) bool {
+	order := position.Compare(state.position)
+	return order > 0 || order == 0 && state.active
+}
+
 // TakeEvacuationChanges returns the changes since the last call.
 func (catalogue *Catalogue) TakeEvacuationChanges() []EvacuationChange {
 	changes := catalogue.evacuations.changes
@@ -198,71 +217,3 @@
 func (state *evacuationState) evacuation(dataCentre string) Evacuation {
 	return Evacuation{DataCentre: dataCentre, Since: state.since, Position: state.position, RetainedUntil: state.retainedUntil}
 }
-
-// evacuationView is the part of a View about evacuations.
-type evacuationView struct {
-	evacuations []Evacuation         // ordered by data centre
-	returnedAt  map[string]time.Time // by data centre that is not evacuated
-	evacuated   map[string][]Target  // targets that Targets leaves out, by service
-	serial      uint64
-}
-
-// evacuationView returns the view of the evacuations, without targets.
-func (catalogue *Catalogue) evacuationView() evacuationView {
-	view := evacuationView{returnedAt: map[string]time.Time{}, evacuated: map[string][]Target{}, serial: catalogue.evacuations.serial}
-	for _, dataCentre := range catalogue.evacuatedDataCentres() {
-		state := catalogue.evacuations.states[dataCentre]
-		if state.active {
-			view.evacuations = append(view.evacuations, state.evacuation(dataCentre))
-		} else {
-			view.returnedAt[dataCentre] = state.since
-		}
-	}
-	return view
-}
-
-// Evacuations returns the evacuations in force, ordered by data centre.
-func (view *View) Evacuations() []Evacuation { return view.evacuation.evacuations }
-
-// EvacuationSerial returns a number that changes whenever evacuations do.
-func (view *View) EvacuationSerial() uint64 { return view.evacuation.serial }
-
-// IsEvacuated reports whether the data centre is evacuated.
-func (view *View) IsEvacuated(dataCentre string) bool {
-	_, found := slices.BinarySearchFunc(view.evacuation.evacuations, dataCentre,
-		func(evacuation Evacuation, dataCentre string) int { return strings.Compare(evacuation.DataCentre, dataCentre) })
-	return found
-}
-
-// ReturnedAt returns when this instance learned that the newest evacuation of the data centre ended. It returns false if there was
-// none, or it is in force.
-func (view *View) ReturnedAt(dataCentre string) (time.Time, bool) {
-	at, ok := view.evacuation.returnedAt[dataCentre]
-	return at, ok
-}
-
-// Registered reports whether the process of the target is registered and takes new work, apart from an evacuation.
-func (view *View) Registered(target Target) bool {
-	for _, targets := range [][]Target{view.services[target.Service], view.evacuation.evacuated[target.Service]} {
-		index, found := slices.BinarySearchFunc(targets, target.ID, func(other Target, id string) int { return strings.Compare(other.ID, id) })
-		if found {
-			return targets[index].Born == target.Born
-		}
-	}
-	return false
-}
-
-// EvacuatedTargets returns the targets of the service that take no work because of an evacuation, ordered by ID.
-func (view *View) EvacuatedTargets(service string) []Target { return view.evacuation.evacuated[service] }
-
-// EvacuatedServices returns the services that have no other targets than evacuated ones, in order.
-func (view *View) EvacuatedServices() []string {
-	var services []string
-	for service := range view.evacuation.evacuated {
-		if len(view.services[service]) == 0 {
-			services = append(services, service)
-		}
-	}
-	slices.Sort(services)
-	return services
-}
