--- a/reel/quota/division.go
+++ b/reel/quota/division.go
@@ -23,8 +23,8 @@
 }
 
 // Division divides rates so that no second has many more requests than the rate, also if instances know different members. Of
-// two instances, the one that knows more senders takes no larger part. Data centres hold fixed shares, so that a lost one
-// changes nothing in the others.
+// two instances that know the same data centres, the one that knows more senders takes no larger part. Data centres hold fixed
+// shares, so that a lost one changes nothing in the others.
 type Division struct {
 	centres []string            // sorted
 	senders map[string][]string // that hold parts, by data centre
--- a/reel/warmup/senders.go
+++ b/reel/warmup/senders.go
@@ -71,8 +71,12 @@
 		senders.record(now, member)
 	}
 	for name, sender := range senders.known {
-		if !listed[name] && sender.lostAt.IsZero() {
+		switch {
+		case listed[name]:
+		case sender.lostAt.IsZero():
 			sender.lostAt = now
+		case sender.isOver(now):
+			delete(senders.known, name)
 		}
 	}
 	senders.divide(now)
@@ -104,13 +108,12 @@
 	known.Member = member
 }
 
-// divide computes the division again, and deletes senders that no longer count.
+// divide computes the division between the senders that count.
 func (senders *Senders) divide(now time.Time) {
 	var counted []quota.Sender
 	senders.strangers = 0
 	for name, sender := range senders.known {
-		if !sender.lostAt.IsZero() && now.Sub(sender.lostAt) >= sender.retention() {
-			delete(senders.known, name)
+		if sender.isOver(now) {
 			continue
 		}
 		if senders.isStranger(sender) {
@@ -133,12 +136,14 @@
 		(senders.readyAt.IsZero() || sender.lostAt.Before(senders.readyAt.Add(spreadTime)))
 }
 
-// retention returns for how long the sender counts after it was lost.
-func (sender *sender) retention() time.Duration {
+// isOver reports whether the sender was lost so long ago that it does not count. It is kept while it is listed as lost, so that it
+// is not taken for one that was lost only now.
+func (sender *sender) isOver(now time.Time) bool {
+	retention := lostRetention
 	if sender.Leaving {
-		return leavingRetention
+		retention = leavingRetention
 	}
-	return lostRetention
+	return !sender.lostAt.IsZero() && now.Sub(sender.lostAt) >= retention
 }
 
 // isIdle reports whether the sender certainly gets no requests from callers. A lost one may get those of other idle ones
