--- a/reel/catalogue/catalogue.go
+++ b/reel/catalogue/catalogue.go
@@ -26,6 +26,9 @@
 	Leaving    bool   // whether it drains and takes no new work
 	Born       int64  // start of the process in milliseconds since the Unix epoch, 0 if not reported
 	Seq        uint64 // increases with each report of one process
+	// ColdLeft is how long the target was still cold at ColdAt, which is zero if it is unknown.
+	ColdLeft time.Duration
+	ColdAt   time.Time // when the instance that reads the store read the registration, by its clock
 }
 
 // Change is a change to one target in the catalogue.
@@ -40,10 +43,11 @@
 type View struct {
 	Configuration *Configuration // nil before the first version
 	services      map[string][]Target
+	evacuation    evacuationView
 	Serial        uint64 // serial of the catalogue, which increases with each change
 }
 
-// Targets returns the targets of the service that take new work, ordered by ID.
+// Targets returns the targets of the service that take new work, ordered by ID. Targets of evacuated data centres do not.
 func (view *View) Targets(service string) []Target {
 	return view.services[service]
 }
@@ -54,6 +58,7 @@
 	configuration       *Configuration
 	configurationSerial uint64 // serial at which the configuration took effect
 	entries             map[string]*entry
+	evacuations         evacuations
 	storeFailing        bool      // whether the latest call to the store failed
 	storeRecoveredAt    time.Time // when the store last answered after a failure, zero if never
 	serial              uint64
@@ -76,7 +81,7 @@
 
 // New returns an empty catalogue.
 func New() *Catalogue {
-	return &Catalogue{entries: map[string]*entry{}}
+	return &Catalogue{entries: map[string]*entry{}, evacuations: evacuations{states: map[string]*evacuationState{}}}
 }
 
 // Configure applies the configuration. It reports false and does nothing if its version is not newer than the current
@@ -114,9 +119,13 @@
 	target.Leaving = target.Leaving || sameProcess && existing.Leaving
 	altered := wasRemoved || existing.Leaving != target.Leaving || existing.Address != target.Address ||
 		existing.Service != target.Service || existing.Born != target.Born || existing.DataCentre != target.DataCentre
+	coldChanged := target.coldDiffers(existing.Target)
+	if !coldChanged && (!altered || sameProcess && target.ColdAt.IsZero()) {
+		target.ColdLeft, target.ColdAt = existing.ColdLeft, existing.ColdAt // as published, so that small differences add up
+	}
 	existing.Target = target
 	existing.removedAt, existing.unusableAt = time.Time{}, time.Time{}
-	if !altered {
+	if !altered && !coldChanged {
 		return Change{}, false
 	}
 	catalogue.changed(existing)
@@ -126,6 +135,8 @@
 		change.Kind = "leaving"
 	case wasRemoved:
 		change.Kind = "registered again"
+	case !altered:
+		change.Kind = "cold period changed"
 	}
 	return change, true
 }
@@ -161,8 +172,10 @@
 	return Change{Target: id, Kind: kind, Ended: !existing.Leaving && existing.unusableAt.Equal(now)}, true
 }
 
-// BeginListing starts a full listing of the targets; EndListing removes the targets not registered in between.
+// BeginListing starts a full listing; EndListing removes the targets not registered in between, and EndEvacuationListing ends
+// the evacuations that it lacks.
 func (catalogue *Catalogue) BeginListing() {
+	catalogue.beginEvacuationListing()
 	for _, entry := range catalogue.entries {
 		entry.listed = false
 	}
@@ -207,8 +220,9 @@
 }
 
 // Tick removes targets whose registration expired and that did not register again in time, deletes old tombstones, and
-// returns the changes.
+// returns the changes. It ends evacuations that were retained for long enough.
 func (catalogue *Catalogue) Tick(now time.Time) []Change {
+	catalogue.tickEvacuations(now)
 	var changes []Change
 	for _, id := range catalogue.ids() {
 		entry := catalogue.entries[id]
@@ -235,19 +249,29 @@
 	if catalogue.view != nil {
 		return catalogue.view
 	}
-	view := &View{Configuration: catalogue.configuration, services: map[string][]Target{}, Serial: catalogue.serial}
+	view := &View{Configuration: catalogue.configuration, services: map[string][]Target{}, evacuation: catalogue.evacuationView(),
+		Serial: catalogue.serial}
 	for _, entry := range catalogue.entries {
-		if !entry.Leaving && entry.presumedAlive() {
+		switch {
+		case entry.Leaving || !entry.presumedAlive():
+		case view.IsEvacuated(entry.DataCentre):
+			view.evacuation.add(entry.Target)
+		default:
 			view.services[entry.Service] = append(view.services[entry.Service], entry.Target)
 		}
 	}
-	for _, targets := range view.services {
-		slices.SortFunc(targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
-	}
+	sortByID(view.services)
+	sortByID(view.evacuation.evacuated)
 	catalogue.view = view
 	return view
 }
 
+func sortByID(services map[string][]Target) {
+	for _, targets := range services {
+		slices.SortFunc(targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
+
 // changed advances the serial and discards the cached view; entry is the target that changed, or nil.
 func (catalogue *Catalogue) changed(entry *entry) {
 	catalogue.serial++
--- a/reel/quota/bucket.go
+++ b/reel/quota/bucket.go
@@ -5,6 +5,9 @@
 const (
 	// burstTime is the time for which an instance can save up its part of the rate, beyond a single request.
 	burstTime = 250 * time.Millisecond
+	// strictBurstTime is that time for a rate that no single second may exceed by much. It makes up for requests that come a
+	// little late.
+	strictBurstTime = 25 * time.Millisecond
 	// handoverTime is the time after which an instance uses a part that another one held, which may not know that yet.
 	handoverTime = time.Second
 )
@@ -15,10 +18,16 @@
 	tokens   float64
 	filledAt time.Time
 	used     int64 // the newest turn in which a request was sent
+	burst    time.Duration
 }
 
 // NewBucket returns a bucket without a part, which holds the given number of requests once it has one.
-func NewBucket(requests float64) *Bucket { return &Bucket{tokens: requests} }
+func NewBucket(requests float64) *Bucket { return &Bucket{tokens: requests, burst: burstTime} }
+
+// NewStrictBucket returns a bucket like NewBucket that saves up hardly more than one request.
+func NewStrictBucket(requests float64) *Bucket {
+	return &Bucket{tokens: requests, burst: strictBurstTime}
+}
 
 // Part returns the part of the bucket.
 func (bucket *Bucket) Part() Part { return bucket.part }
@@ -75,7 +84,7 @@
 	bucket.filledAt = now
 	capacity := 0.0
 	if bucket.part.Rate > 0 {
-		capacity = 1 + bucket.part.Rate*burstTime.Seconds()
+		capacity = 1 + bucket.part.Rate*bucket.burst.Seconds()
 	}
 	bucket.tokens = min(bucket.tokens, capacity)
 }
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -95,7 +95,8 @@
 func Start(config settings.Front, logger *logrus.Logger) (*Front, error) {
 	debug.SetGCPercent(gcPercent)
 	ctx, cancel := context.WithCancel(context.Background())
-	front := &Front{log: logger, ctx: ctx, cancel: cancel, pool: connpool.NewPool(), healthLines: linelimit.New(healthLinesPerSecond)}
+	front := &Front{log: logger, ctx: ctx, cancel: cancel, healthLines: linelimit.New(healthLinesPerSecond)}
+	front.pool = connpool.NewPool(connpool.WithExclusion(func(address netip.AddrPort) bool { return front.View().IsEvacuatedAddress(address) }))
 	front.settings.Store(&config)
 	front.openMetrics()
 	front.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
@@ -140,7 +141,8 @@
 	var err error
 	front.roster, err = roster.Listen(front.ctx, front.system, roster.Config{Self: front.self, Seeds: config.Seeds,
 		Log: front.log, Random: random(), OnChange: front.setMembers, Tracker: tracker, OnMark: front.logMark,
-		OnMarksKnown: front.markMarksKnown})
+		OnMarksKnown: front.markMarksKnown, OnComplete: func() { front.router.MembersComplete(time.Now()) },
+		OnLost: front.router.SetLost})
 	if err != nil {
 		return err
 	}
@@ -232,6 +234,8 @@
 	case choice.LimitEnded:
 		front.scope.Counter("limits_ended").Inc(1)
 		fields["limit_per_second"] = float64(change.Limit)
+	case choice.Cold, choice.Warm:
+		addColdFields(fields, change)
 	}
 	if !front.healthLines.Allow(time.Now()) {
 		front.scope.Counter("health_lines_dropped").Inc(1)
@@ -298,7 +302,9 @@
 	front.scope.Gauge("response_bytes_pending").Update(float64(front.pool.PendingBytes()))
 	front.scope.Gauge("store_calls").Update(float64(front.feed.StoreCalls()))
 	front.scope.Gauge("members").Update(float64(len(front.roster.Members())))
+	front.scope.Gauge("evacuations").Update(float64(len(front.View().Evacuations())))
 	front.scope.Gauge("running").Update(float64(front.handler.Running()))
+	front.updateColdGauges(time.Now())
 }
 
 // Reload applies the changed settings that can change while the process runs: seeds,
--- a/shallotreel/ingress/router.go
+++ b/shallotreel/ingress/router.go
@@ -12,6 +12,7 @@
 	"shallotreel.example/reel/extra"
 	"shallotreel.example/reel/member"
 	"shallotreel.example/reel/softdeadline"
+	"shallotreel.example/reel/warmup"
 	"shallotreel.example/reel/workingset"
 	"shallotreel.example/shallotreel/connpool"
 )
@@ -33,7 +34,11 @@
 	onHealthChange func(choice.HealthChange) // called without the lock when the estimated health of a target or service changes
 	home           member.Member             // name and data centre of this instance
 	slack          extra.Shares
-	idle           bool // whether this instance is outside the working set
+	idle           bool   // whether this instance is outside the working set
+	evacuations    uint64 // serial of the evacuations at the last choice
+	senders        *warmup.Senders
+	members        []warmup.Member // as last passed to SetMembers
+	lost           []warmup.Member // as last passed to SetLost
 }
 
 // NewRouter returns a router without traffic statistics for the instance home. It calls
@@ -41,6 +46,8 @@
 func NewRouter(catalogue Catalogue, pool *connpool.Pool, limits extra.Limits, home member.Member, random *rand.Rand, onHealthChange func(choice.HealthChange)) *Router {
 	router := &Router{catalogue: catalogue, pool: pool, limits: limits, selector: choice.New(random), onHealthChange: onHealthChange,
 		budgets: map[string]*extra.Budget{}, rotations: map[string]*rotation{}, estimator: softdeadline.New(), home: home}
+	router.senders = warmup.NewSenders(warmup.Member{Name: home.Name, DataCentre: home.DataCentre})
+	router.selector.SetSenders(router.senders)
 	router.selector.SetFleet(choice.Fleet{Name: home.Name, DataCentre: home.DataCentre, Instances: map[string]int{home.DataCentre: 1}, Total: 1,
 		Members: []choice.FleetMember{{Name: home.Name, DataCentre: home.DataCentre}}})
 	return router
@@ -71,6 +78,8 @@
 	working := workingset.ExpectedSize(members)
 	router.slack.SetInstances(working, len(members)-working)
 	router.selector.SetFleet(fleet)
+	router.members = sendersOf(members, sets)
+	router.updateSenders(time.Now())
 }
 
 // Choose picks a target of the service that has free capacity and was not tried; it reports false if there is none.
@@ -78,6 +87,8 @@
 	view := router.catalogue.View()
 	router.mutex.Lock()
 	defer router.unlockAndNotify()
+	router.selector.SetReturns(view)
+	router.noteEvacuations(view)
 	hasCapacity := func(target catalogue.Target) bool { return router.pool.CanStart(now, target.Address) }
 	return router.selector.Choose(now, route, view.Targets(service), view.Configuration.Services[service], tried, hasCapacity)
 }
@@ -90,10 +101,20 @@
 // QuietFor returns for how long all targets of the service take no request from this instance, as they asked, or 0 if any
 // takes one.
 func (router *Router) QuietFor(now time.Time, service string) time.Duration {
-	targets := router.catalogue.View().Targets(service)
+	view := router.catalogue.View()
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
-	return router.selector.QuietFor(now, targets)
+	router.noteEvacuations(view)
+	return router.selector.QuietFor(now, view.Targets(service))
+}
+
+// noteEvacuations has the shares of this instance computed anew if other data centres are evacuated than at the last choice. The
+// caller must hold the lock.
+func (router *Router) noteEvacuations(view *catalogue.View) {
+	if serial := view.EvacuationSerial(); serial != router.evacuations {
+		router.evacuations = serial
+		router.selector.CandidatesChanged()
+	}
 }
 
 // Saturated reports whether most recent requests to the service found no target with free capacity in time, and for
@@ -200,10 +221,14 @@
 	}
 }
 
-// Sweep removes the statistics of targets that were not used for long.
+// Sweep removes the statistics of targets that were not used for long, except evacuated ones, which return.
 func (router *Router) Sweep(now time.Time) {
+	view := router.catalogue.View()
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
+	for target := range view.EvacuatedTargets() {
+		router.selector.Keep(now, target.ID)
+	}
 	router.selector.Sweep(now)
 }
 
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -168,7 +168,7 @@
 func (run *run) handleResult(send query.Send, ended connpool.Result) {
 	answer, report, outcome := run.classify(ended)
 	if (outcome == choice.Failed || outcome == choice.Abandoned) && run.handler.path.IsLost() {
-		outcome = choice.Inconclusive
+		outcome, report.Broken = choice.Inconclusive, false
 	}
 	answer.AttemptID = send.AttemptID
 	now := time.Now()
@@ -197,10 +197,12 @@
 			return answer, choice.Report{}, choice.Abandoned
 		case connpool.ErrTooLate:
 			return answer, choice.Report{}, choice.Abandoned
+		case connpool.ErrExcluded:
+			return answer, choice.Report{}, choice.Inconclusive
 		case connpool.ErrConnectionLimit:
 			return answer, choice.Report{}, choice.ConnectionsExhausted
 		default:
-			return answer, choice.Report{}, choice.Failed
+			return answer, choice.Report{Broken: ended.Sent || ended.Listens == connpool.Refused}, choice.Failed
 		}
 	}
 	answer, report := run.outbound.ParseResponse(ended.Response, ended.Body)
