--- a/reel/catalogue/evacuation.go
+++ b/reel/catalogue/evacuation.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"shallotreel.example/reel/cursor"
+	"shallotreel.example/reel/storepos"
 )
 
 // retentionAfterRestore is how long an evacuation that the store lost by a restore stays in force at most, unless the
@@ -15,9 +15,9 @@
 // Evacuation is a data centre whose targets get no requests.
 type Evacuation struct {
 	DataCentre    string
-	Since         time.Time       // when it began, by the clock of this instance
-	Position      cursor.Position // of the write in the store
-	RetainedUntil time.Time       // when it ends although nobody ended it, zero unless the store was restored and lacks it
+	Since         time.Time         // when it began, by the clock of this instance
+	Position      storepos.Position // of the write in the store
+	RetainedUntil time.Time         // when it ends although nobody ended it, zero unless the store was restored and lacks it
 }
 
 // EvacuationChange is a change to the evacuation of one data centre.
@@ -43,23 +43,23 @@
 // older listing or peer cannot start an evacuation that has ended; there are as many as there are data centres.
 type evacuations struct {
 	states  map[string]*evacuationState
-	read    cursor.Position // of the newest complete listing
-	serial  uint64          // of the catalogue at the latest change
+	read    storepos.Position // of the newest complete listing
+	serial  uint64            // of the catalogue at the latest change
 	changes []EvacuationChange
 }
 
 // evacuationState is the newest known state of the evacuation of one data centre.
 type evacuationState struct {
 	active        bool
-	position      cursor.Position // of the write or deletion
-	since         time.Time       // when it began or, if it is not active, ended
-	retainedUntil time.Time       // see Evacuation
-	listed        bool            // whether the listing in progress contains it
+	position      storepos.Position // of the write or deletion
+	since         time.Time         // when it began or, if it is not active, ended
+	retainedUntil time.Time         // see Evacuation
+	listed        bool              // whether the listing in progress contains it
 }
 
 // Evacuate applies a write of the evacuation of the data centre at the position of the store. A write that is older than
 // what is known has no effect.
-func (catalogue *Catalogue) Evacuate(now time.Time, dataCentre string, position cursor.Position) {
+func (catalogue *Catalogue) Evacuate(now time.Time, dataCentre string, position storepos.Position) {
 	catalogue.applyWrite(now, dataCentre, now, position)
 	if state, ok := catalogue.evacuations.states[dataCentre]; ok {
 		state.listed = true
@@ -68,7 +68,7 @@
 
 // applyWrite applies a write at the position, unless something newer is known. A write that the newest complete listing should have
 // had, but lacks, was deleted before it.
-func (catalogue *Catalogue) applyWrite(now time.Time, dataCentre string, since time.Time, position cursor.Position) {
+func (catalogue *Catalogue) applyWrite(now time.Time, dataCentre string, since time.Time, position storepos.Position) {
 	read := catalogue.evacuations.read
 	state, ok := catalogue.evacuations.states[dataCentre]
 	isMissing := position.Era == read.Era && position.Revision <= read.Revision
@@ -83,7 +83,7 @@
 
 // TakeBack applies a deletion, by which the targets of the data centre get requests again. A deletion that is older than
 // what is known has no effect.
-func (catalogue *Catalogue) TakeBack(now time.Time, dataCentre string, position cursor.Position) {
+func (catalogue *Catalogue) TakeBack(now time.Time, dataCentre string, position storepos.Position) {
 	state := catalogue.evacuationState(dataCentre)
 	if state.endedBy(position) {
 		catalogue.endEvacuation(dataCentre, state, now, position, EvacuationEnded)
@@ -91,7 +91,7 @@
 }
 
 // endedBy reports whether a deletion at the position is news. At the same position, which a complete listing may have, the end counts.
-func (state *evacuationState) endedBy(position cursor.Position) bool {
+func (state *evacuationState) endedBy(position storepos.Position) bool {
 	order := position.Compare(state.position)
 	return order > 0 || order == 0 && state.active
 }
@@ -114,7 +114,7 @@
 }
 
 // beginEvacuation makes the evacuation active by the write at the position. One that is active already goes on.
-func (catalogue *Catalogue) beginEvacuation(dataCentre string, state *evacuationState, since time.Time, position cursor.Position) {
+func (catalogue *Catalogue) beginEvacuation(dataCentre string, state *evacuationState, since time.Time, position storepos.Position) {
 	kind := EvacuationBegan
 	if state.active {
 		kind, since = EvacuationWritten, state.since
@@ -125,7 +125,8 @@
 
 // endEvacuation records that the evacuation is not active at the position. Without an active one only the position and the time are
 // recorded.
-func (catalogue *Catalogue) endEvacuation(dataCentre string, state *evacuationState, at time.Time, position cursor.Position, kind EvacuationChangeKind) {
+func (catalogue *Catalogue) endEvacuation(dataCentre string, state *evacuationState, at time.Time, position storepos.Position,
+	kind EvacuationChangeKind) {
 	wasActive := state.active
 	if wasActive || state.since.IsZero() {
 		state.since = at
@@ -154,7 +155,7 @@
 }
 
 // endMissing ends the evacuations that a complete listing of the given position lacks; those of an earlier era are retained.
-func (catalogue *Catalogue) endMissing(now time.Time, position cursor.Position, isListed func(string) bool) {
+func (catalogue *Catalogue) endMissing(now time.Time, position storepos.Position, isListed func(string) bool) {
 	for _, dataCentre := range catalogue.evacuatedDataCentres() {
 		state := catalogue.evacuations.states[dataCentre]
 		switch {
@@ -180,7 +181,7 @@
 
 // EndEvacuationListing ends a full listing that began with the state of the store at the position: evacuations that were not written in
 // between and are not newer have ended. Those of an earlier era were lost by a restore and are retained.
-func (catalogue *Catalogue) EndEvacuationListing(now time.Time, position cursor.Position) {
+func (catalogue *Catalogue) EndEvacuationListing(now time.Time, position storepos.Position) {
 	catalogue.endMissing(now, position, func(dataCentre string) bool { return catalogue.evacuations.states[dataCentre].listed })
 }
 
--- a/reel/catalogue/evacuation_test.go
+++ b/reel/catalogue/evacuation_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"shallotreel.example/reel/cursor"
+	"shallotreel.example/reel/storepos"
 )
 
 // writes are the evacuations in the simulated store at each revision of one era.
@@ -49,8 +49,8 @@
 	writes.keys = append(writes.keys, keys)
 }
 
-func (fleet *fleet) position(revision int) cursor.Position {
-	return cursor.Position{Era: uint64(len(fleet.eras)), Revision: uint64(revision)}
+func (fleet *fleet) position(revision int) storepos.Position {
+	return storepos.Position{Era: uint64(len(fleet.eras)), Revision: uint64(revision)}
 }
 
 // enter records that the reader has read the era up to the revision.
@@ -256,7 +256,7 @@
 		target.DataCentre = dataCentre
 		catalogue.Register(target)
 	}
-	catalogue.Evacuate(at(100), "a", cursor.Position{Era: 1, Revision: 5})
+	catalogue.Evacuate(at(100), "a", storepos.Position{Era: 1, Revision: 5})
 	assertUsable(t, catalogue, "in-1", "in-2")
 	view := catalogue.View()
 	evacuated, restarted := target("in-0", 1), target("in-0", 1)
@@ -267,7 +267,7 @@
 	if _, ok := view.ReturnedAt("a"); ok {
 		t.Error("the data centre has returned while it is evacuated")
 	}
-	catalogue.TakeBack(at(200), "a", cursor.Position{Era: 1, Revision: 6})
+	catalogue.TakeBack(at(200), "a", storepos.Position{Era: 1, Revision: 6})
 	assertUsable(t, catalogue, "in-0", "in-1", "in-2")
 	if returned, ok := catalogue.View().ReturnedAt("a"); !ok || !returned.Equal(at(200)) {
 		t.Errorf("returned at %v, %t", returned, ok)
--- a/reel/catalogue/evacuationdelta.go
+++ b/reel/catalogue/evacuationdelta.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"shallotreel.example/reel/cursor"
+	"shallotreel.example/reel/storepos"
 )
 
 // EvacuationDelta is all that one instance knows of evacuations, in force or ended.
 type EvacuationDelta struct {
-	Read   cursor.Position // newest complete listing of the store, which lacked all evacuations that are not in States and not newer
+	Read   storepos.Position // newest complete listing of the store, which lacked all evacuations that are not in States and not newer
 	States []EvacuationState
 }
 
@@ -17,9 +17,9 @@
 type EvacuationState struct {
 	DataCentre string
 	Active     bool
-	Position   cursor.Position // of the write or deletion in the store
-	Age        time.Duration   // time since it began or ended
-	Retained   time.Duration   // how much longer it is retained, 0 unless the store was restored and lacks it
+	Position   storepos.Position // of the write or deletion in the store
+	Age        time.Duration     // time since it began or ended
+	Retained   time.Duration     // how much longer it is retained, 0 unless the store was restored and lacks it
 }
 
 // EvacuationsSince returns what is known of evacuations, or nil if that has not changed after the serial.
--- a/reel/cursor/cursor_test.go
+++ b/reel/cursor/cursor_test.go
@@ -47,15 +47,15 @@
 		usable bool
 		want   Position
 	}{
-		{"newer", PeerReply{Whole: true, Position: Position{3, 10}}, true, Position{3, 10}},
-		{"older changes of the same era", PeerReply{Position: Position{3, 8}}, true, Position{3, 9}},
-		{"older whole catalogue", PeerReply{Whole: true, Position: Position{3, 8}}, false, Position{3, 9}},
-		{"newer era at a lower revision", PeerReply{Position: Position{4, 2}}, true, Position{4, 2}},
-		{"older era at a higher revision", PeerReply{Position: Position{2, 50}}, false, Position{3, 9}},
-		{"too old", PeerReply{Position: Position{3, 10}, Age: MaxAge + 1}, false, Position{3, 9}},
+		{"newer", PeerReply{Whole: true, Position: Position{Era: 3, Revision: 10}}, true, Position{Era: 3, Revision: 10}},
+		{"older changes of the same era", PeerReply{Position: Position{Era: 3, Revision: 8}}, true, Position{Era: 3, Revision: 9}},
+		{"older whole catalogue", PeerReply{Whole: true, Position: Position{Era: 3, Revision: 8}}, false, Position{Era: 3, Revision: 9}},
+		{"newer era at a lower revision", PeerReply{Position: Position{Era: 4, Revision: 2}}, true, Position{Era: 4, Revision: 2}},
+		{"older era at a higher revision", PeerReply{Position: Position{Era: 2, Revision: 50}}, false, Position{Era: 3, Revision: 9}},
+		{"too old", PeerReply{Position: Position{Era: 3, Revision: 10}, Age: MaxAge + 1}, false, Position{Era: 3, Revision: 9}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			cursor := Cursor{position: Position{3, 9}, listed: true}
+			cursor := Cursor{position: Position{Era: 3, Revision: 9}, listed: true}
 			_, err := cursor.ReadPeer(start, test.reply)
 			if usable := err == nil; usable != test.usable {
 				t.Errorf("the reply is used: %v, want %v", usable, test.usable)
--- a/reel/cursor/simulated_instance_test.go
+++ b/reel/cursor/simulated_instance_test.go
@@ -141,7 +141,7 @@
 	if instance.cursor.Peer().Process == reader.process {
 		serial = instance.cursor.Peer().Serial
 	}
-	delta := reader.catalogue.Since(serial)
+	delta := reader.catalogue.Since(simulation.Now, serial)
 	reply := PeerReply{Peer: Peer{reader.process, delta.Serial}, Whole: serial == 0, Position: reader.published,
 		Age: simulation.Now.Sub(reader.contact)}
 	instance.later(simulation.draw(200*time.Millisecond), func() {
--- a/shallotreel/feed/evacuation.go
+++ b/shallotreel/feed/evacuation.go
@@ -22,7 +22,7 @@
 	maxAsked = 3
 )
 
-// sources of evacuations in log lines.
+// Sources of evacuations in log lines.
 const (
 	sourceStore   = "store"
 	sourcePeer    = "peer"
@@ -61,8 +61,8 @@
 // logEvacuations logs the changes of evacuations since the last call.
 func (feed *Feed) logEvacuations(now time.Time, source string) {
 	for _, change := range feed.catalogue.TakeEvacuationChanges() {
-		log := feed.log.WithFields(logrus.Fields{"data_centre": change.DataCentre, "era": change.Position.Era,
-			"revision": change.Position.Revision, "source": source, "change": string(change.Kind), "age_ms": now.Sub(change.Since).Milliseconds()})
+		log := feed.log.WithFields(logrus.Fields{"data_centre": change.DataCentre, "era": change.Position.Era, "revision": change.Position.Revision,
+			"source": source, "change": string(change.Kind), "age_ms": now.Sub(change.Since).Milliseconds()})
 		switch change.Kind {
 		case catalogue.EvacuationRetained:
 			log.WithField("until", change.RetainedUntil).Warn("restored store lacks an evacuation; it stays in force until it is written again")
--- a/shallotreel/reachwatch/reachwatch.go
+++ b/shallotreel/reachwatch/reachwatch.go
@@ -99,7 +99,7 @@
 	switch {
 	case ended.Response != nil:
 		watch.monitor.Answered(now, id, target)
-	case ended.Err == connpool.ErrCanceled:
+	case ended.Err == connpool.ErrCanceled || ended.Err == connpool.ErrExcluded:
 		watch.monitor.Abandoned(now, id, target)
 	case ended.Err == connpool.ErrTooLate:
 		watch.monitor.Abandoned(now, id, target)
--- a/shallotreel/reachwatch/reachwatch_test.go
+++ b/shallotreel/reachwatch/reachwatch_test.go
@@ -15,6 +15,7 @@
 
 	"shallotreel.example/reel/catalogue"
 	"shallotreel.example/reel/reach"
+	"shallotreel.example/reel/storepos"
 	"shallotreel.example/shallotreel/connpool"
 )
 
@@ -151,3 +152,26 @@
 		})
 	})
 }
+
+// TestEvacuatedTargets guards against connections to evacuated targets, which also must not look like ended ones or a lost path.
+func TestEvacuatedTargets(t *testing.T) {
+	run(t, 3, func(t *testing.T, watch *Watch, prober *prober) {
+		view := catalogue.New()
+		view.Register(catalogue.Target{ID: "in-0", Service: "service-0", DataCentre: "a", Address: address(0)})
+		view.Configure(catalogue.NewConfiguration(1, nil, []catalogue.Service{{Name: "service-0"}}, catalogue.Limits{}))
+		view.Evacuate(time.Now(), "a", storepos.Position{Era: 1, Revision: 1})
+		watch.mutex.Lock()
+		watch.catalogue = fixed{view.View()}
+		watch.mutex.Unlock()
+		prober.ended = address(0)
+		if targets := watch.randomTargets([]netip.AddrPort{address(0)}, 3); len(targets) != 0 {
+			t.Errorf("%v would be probed", targets)
+		}
+		if watch.refuses(address(0)) || watch.ConfirmRefusal(time.Now(), address(0)) {
+			t.Error("the evacuated target seems to have ended")
+		}
+		if accepted, failed := watch.connect([]netip.AddrPort{address(0)}); accepted+failed > 0 {
+			t.Errorf("%d accepted, %d failed", accepted, failed)
+		}
+	})
+}
