--- a/reel/query/admit.go
+++ b/reel/query/admit.go
@@ -23,13 +23,27 @@
 	return machine.meetsLeastShare(willing)
 }
 
-// checkUnsent reports whether the request must end although nothing of it was sent: it has waited for too long, or the trial of
-// another one with the same content has shown that it crashes targets.
+// hasTargets reports whether as many services have any target as the answer needs at least.
+func (machine *Machine) hasTargets() bool {
+	served := 0
+	for _, part := range machine.parts {
+		if machine.router.HasTargets(part.service) {
+			served++
+		}
+	}
+	return served > 0 && (!machine.isScatterGather() || machine.meetsLeastShare(served))
+}
+
+// checkUnsent reports whether the request must end although nothing of it was sent: it has waited for too long, its services
+// have lost their targets, or the trial of another one with the same content has shown that it crashes targets.
 func (machine *Machine) checkUnsent(now time.Time) (Finish, bool) {
 	if machine.isQuarantined(now) {
 		_, left := machine.router.Verdict(now, machine.plan.Fingerprint)
 		return Finish{Code: result.Quarantined, RetryAfter: left, Reason: reasonQuarantined}, true
 	}
+	if !machine.hasTargets() {
+		return machine.failureFinish(reasonNoTargets), true
+	}
 	until := machine.waitUntil()
 	if machine.unsentReason == reasonUnwilling {
 		until = machine.plan.Start.Add(machine.plan.SoftDeadline.Sub(machine.plan.Start) / capacityWaitDivisor)
--- a/reel/query/trial_test.go
+++ b/reel/query/trial_test.go
@@ -216,3 +216,17 @@
 		})
 	}
 }
+
+// TestQueuedWithoutTargets guards against a request that waits for the trial of another one although its service has lost all targets.
+func TestQueuedWithoutTargets(t *testing.T) {
+	for _, route := range []catalogue.Route{single(true), scatterGather(3, 0.6)} {
+		session := newSession(t, route)
+		session.router.verdict, session.router.tried = quarantine.Suspect, true
+		session.begin()
+		session.assertOpen()
+		session.router.empty = route.ServiceNames()
+		session.wake(10)
+		session.assertSends(0)
+		session.assertEnd(result.NoTarget)
+	}
+}
