Warm-up: tests that fail without the protection they guard

Three changes of the code on a scratch copy went unnoticed: a broken connection to an earlier process, a lost sender that is listed again, and the cost of a cold target. Each now fails a test.

--- a/reel/choice/cold_test.go
+++ b/reel/choice/cold_test.go
@@ -65,8 +65,8 @@
 	t.Run("a warm one in the same data centre is preferred", func(t *testing.T) {
 		candidates := coldTargets(1)
 		candidates[1].DataCentre = "a"
-		if sent := send(t, newColdSelector(), candidates, coldService, 100, 10); sent["in-a"] > 10 {
-			t.Errorf("requests by target: %v; want few at in-a", sent)
+		if sent := send(t, newColdSelector(), candidates, coldService, 100, 10); sent["in-a"] > 0 {
+			t.Errorf("requests by target: %v; want none at in-a at the begin of its warm-up", sent)
 		}
 	})
 	t.Run("all are cold", func(t *testing.T) {
--- a/reel/warmup/senders_test.go
+++ b/reel/warmup/senders_test.go
@@ -61,6 +61,7 @@
 			senders.Update(epoch.Add(begin), test.first)
 			senders.Complete(epoch.Add(begin))
 			senders.Update(epoch.Add(test.at), test.then)
+			senders.refresh(epoch.Add(8 * time.Second))
 			senders.Update(epoch.Add(9*time.Second), test.then) // a change of the members that concerns none of these
 			now := epoch.Add(10 * time.Second)
 			senders.refresh(now)
--- a/reel/warmup/warmup_test.go
+++ b/reel/warmup/warmup_test.go
@@ -87,12 +87,12 @@
 			session.tracker.ReportBroken(at(1), session.target)
 			session.tracker.ReportNothing(session.target, at(2))
 		}, false},
-		{"a connection to an earlier process broke", func(session *session) {
+		{"a connection to an earlier process broke, which tells nothing of the cold one", func(session *session) {
 			earlier := session.target
-			session.target.Born, session.target.ColdLeft = 2, 2*time.Second
-			session.look(0)
-			session.tracker.ReportBroken(at(1), earlier)
-		}, false},
+			session.target.Born = 2
+			session.answer(0, 1, warmUp)
+			session.tracker.ReportBroken(at(2), earlier)
+		}, true},
 		{"an earlier process was cold", func(session *session) {
 			session.answer(1, 2, warmUp)
 			session.target.Born, session.target.ColdAt = 2, at(3)
