Operators: status of a proxying instance, reelctl evacuations and load

Cause: an operator cannot see at how many instances an evacuation is in force, which load cold targets are given, or who is refused and why.

Change: the metrics address of `shallotreel front` also serves /v1/status (reel/operator has the types); `reelctl evacuations` and `reelctl load` ask all members and summarize their answers. The selector counts attempts in flight by data centre. Evacuations, cold targets and admission are empty until their sources exist.

--- a/reel/choice/selector.go
+++ b/reel/choice/selector.go
@@ -101,9 +101,10 @@
 
 // Attempt is an attempt in flight.
 type Attempt struct {
-	ID     uint64 // unique among the attempts at one target
-	Route  string // name of the route
-	SentAt time.Time
+	ID         uint64 // unique among the attempts at one target
+	Route      string // name of the route
+	DataCentre string // of the target
+	SentAt     time.Time
 }
 
 // New returns a Selector without statistics, for a fleet of one instance.
--- /dev/null
+++ b/reelctl/client/doc.go
@@ -0,0 +1,2 @@
+// Package client calls the HTTP interfaces for operators, of one instance or of many concurrently.
+package client
--- a/reelctl/main.go
+++ b/reelctl/main.go
@@ -23,15 +23,17 @@
 var errNegativeResult = errors.New("negative result")
 
 type options struct {
-	JSON    bool           `long:"json" description:"print JSON instead of a table"`
-	Version func()         `long:"version" description:"print the version and exit"`
-	Check   checkCommand   `command:"check" description:"validate a configuration document as the instances do"`
-	Diff    diffCommand    `command:"diff" description:"show the fields in which another document or preset differs"`
-	Status  statusCommand  `command:"status" description:"show all instances, including those that do not answer"`
-	Explain explainCommand `command:"explain" description:"show the targets of a request and the reason for each choice"`
-	Drain   drainCommand   `command:"drain" description:"make an instance leave the fleet, finish its requests and stop"`
-	Marks   marksCommand   `command:"marks" description:"show the marks on requests that crash targets, and why each stands, from the logs of instances"`
-	Trace   traceCommand   `command:"trace" description:"show what the logs of instances record about one request"`
+	JSON        bool               `long:"json" description:"print JSON instead of a table"`
+	Version     func()             `long:"version" description:"print the version and exit"`
+	Check       checkCommand       `command:"check" description:"validate a configuration document as the instances do"`
+	Diff        diffCommand        `command:"diff" description:"show the fields in which another document or preset differs"`
+	Status      statusCommand      `command:"status" description:"show all instances, including those that do not answer"`
+	Explain     explainCommand     `command:"explain" description:"show the targets of a request and the reason for each choice"`
+	Drain       drainCommand       `command:"drain" description:"make an instance leave the fleet, finish its requests and stop"`
+	Evacuations evacuationsCommand `command:"evacuations" description:"show which data centres are evacuated, at how many instances, and which targets are cold"`
+	Load        loadCommand        `command:"load" description:"show which requests are admitted and refused, why, and what would end the refusals"`
+	Marks       marksCommand       `command:"marks" description:"show the marks on requests that crash targets, and why each stands, from the logs of instances"`
+	Trace       traceCommand       `command:"trace" description:"show what the logs of instances record about one request"`
 }
 
 var global options
@@ -76,5 +78,7 @@
   reelctl status --instance 127.0.0.1:8080
   reelctl explain --instance 127.0.0.1:8080 --kind chef-planner --query "leftover injera"
   reelctl drain --instance 127.0.0.1:8080
+  reelctl evacuations --instance 10.0.0.1:9464
+  reelctl load --instance 10.0.0.1:9464
   reelctl trace 5f1c0a77 front-1.log front-2.log
 Exit codes: 0 success, 1 negative result (such as invalid or different), 2 wrong usage, 3 an instance or file could not be read.`
--- a/reelctl/main_test.go
+++ b/reelctl/main_test.go
@@ -32,6 +32,7 @@
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("DEPLOYMENTS", deployments)
 			env.Setenv("INSTANCE", startFleet(t, env.Defer))
+			env.Setenv("METRICS", startFronts(t, env.Defer))
 			return nil
 		},
 	})
@@ -90,6 +91,9 @@
 		{"status --instance nowhere", exitFailure},
 		{"status --instance 127.0.0.1:1", exitFailure},
 		{"check /no/such/file", exitFailure},
+		{"evacuations", exitUsage},
+		{"load --instance 127.0.0.1:1", exitFailure},
+		{"load --instance 127.0.0.1:1 --interval soon", exitUsage},
 	}
 	for _, test := range tests {
 		if got := run(strings.Fields(test.args)); got != test.want {
--- a/reelctl/online.go
+++ b/reelctl/online.go
@@ -21,10 +21,13 @@
 	Instance string `long:"instance" short:"i" required:"yes" description:"address of an instance, such as 127.0.0.1:8080"`
 }
 
-func (option instanceOption) address() (netip.AddrPort, error) {
-	address, err := netip.ParseAddrPort(option.Instance)
+func (option instanceOption) address() (netip.AddrPort, error) { return parseInstance(option.Instance) }
+
+// parseInstance parses the value of the option instance.
+func parseInstance(value string) (netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(value)
 	if err != nil {
-		return netip.AddrPort{}, errors.Errorf("field instance: value %q: give an IP address and a port", option.Instance)
+		return netip.AddrPort{}, errors.Errorf("field instance: value %q: give an IP address and a port", value)
 	}
 	return address, nil
 }
--- a/reelctl/survey/doc.go
+++ b/reelctl/survey/doc.go
@@ -1,2 +1,3 @@
-// Package survey queries the operator interface of instances over HTTP, of one instance or of the whole fleet.
+// Package survey queries the operator interface of instances that answer requests themselves, of one instance or of the whole
+// fleet.
 package survey
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -162,7 +162,7 @@
 	if _, err = front.serve(config.ResolveAddress, http.HandlerFunc(front.serveResolve)); err != nil {
 		return errors.Wrap(err, "listen for address queries")
 	}
-	if _, err = front.serve(config.MetricsAddress, front.reporter.HTTPHandler()); err != nil {
+	if _, err = front.serve(config.MetricsAddress, front.operatorsHandler()); err != nil {
 		return errors.Wrap(err, "listen for metrics")
 	}
 	front.roster.Start()
--- /dev/null
+++ b/shallotreel/front/status.go
@@ -0,0 +1,96 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"shallotreel.example/reel/member"
+	"shallotreel.example/reel/operator"
+)
+
+// statusSource provides what an instance knows of the fleet and what it decides about targets and requests.
+type statusSource interface {
+	Version() uint64 // of the configuration in force
+	Evacuations() []operator.Evacuation
+	ColdTargets(now time.Time) []operator.ColdTarget
+	Admission(now time.Time) []operator.Group
+	Members() []member.Member
+}
+
+// statusHandler serves the status of the instance self to operators.
+type statusHandler struct {
+	self    member.Member
+	metrics netip.AddrPort // of this instance
+	source  statusSource
+	now     func() time.Time
+	log     logrus.FieldLogger
+}
+
+// ServeHTTP answers with an operator.FrontStatus.
+func (handler *statusHandler) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(writer).Encode(handler.status(handler.now())); err != nil {
+		handler.log.WithError(err).Debug("cannot send the status")
+	}
+}
+
+// status returns the state of the instance. Lists without an element are encoded as such, not as null.
+func (handler *statusHandler) status(now time.Time) operator.FrontStatus {
+	status := operator.FrontStatus{
+		Instance: handler.self.Name, DataCentre: handler.self.DataCentre, Time: now.UTC(), Version: handler.source.Version(),
+		Evacuations: append([]operator.Evacuation{}, handler.source.Evacuations()...),
+		ColdTargets: append([]operator.ColdTarget{}, handler.source.ColdTargets(now)...),
+		Admission:   append([]operator.Group{}, handler.source.Admission(now)...),
+	}
+	for _, member := range handler.source.Members() {
+		status.Members = append(status.Members, operator.FrontMember{Name: member.Name, DataCentre: member.DataCentre,
+			State: member.State, Metrics: handler.metricsAddress(member)})
+	}
+	return status
+}
+
+// metricsAddress returns the metrics address of the member. Members do not announce it, since all instances of a deployment
+// use the same port.
+func (handler *statusHandler) metricsAddress(member member.Member) netip.AddrPort {
+	if member.Name == handler.self.Name {
+		return handler.metrics
+	}
+	return netip.AddrPortFrom(member.Caller.Addr(), handler.metrics.Port())
+}
+
+// operatorsHandler returns the handler of the metrics address. Metrics are served at all paths but that of the status, as
+// before there was a status.
+func (front *Front) operatorsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", front.reporter.HTTPHandler())
+	mux.Handle("GET "+operator.StatusPath, &statusHandler{self: front.self, metrics: front.settings.Load().MetricsAddress,
+		source: components{front}, now: time.Now, log: front.log})
+	return mux
+}
+
+// components is the statusSource of a running instance.
+type components struct{ *Front }
+
+// Version returns the version of the configuration in force, or 0 before the first one.
+func (components components) Version() uint64 {
+	if configuration := components.View().Configuration; configuration != nil {
+		return configuration.Version
+	}
+	return 0
+}
+
+// Evacuations returns the evacuated data centres.
+func (components components) Evacuations() []operator.Evacuation { return nil }
+
+// ColdTargets returns the targets that are treated as cold.
+func (components components) ColdTargets(time.Time) []operator.ColdTarget { return nil }
+
+// Admission returns the admission of each group of requests.
+func (components components) Admission(time.Time) []operator.Group { return nil }
+
+// Members returns the known instances, including this one.
+func (components components) Members() []member.Member { return components.roster.Members() }
--- a/shallotreel/ingress/router.go
+++ b/shallotreel/ingress/router.go
@@ -176,6 +176,13 @@
 	router.selector.ForgetFailures()
 }
 
+// InFlight returns the number of attempts in flight at targets of the data centre.
+func (router *Router) InFlight(dataCentre string) int {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	return router.selector.InFlight(dataCentre)
+}
+
 // recordSent records an attempt that is about to be sent.
 func (router *Router) recordSent(now time.Time, target string, attempt choice.Attempt) {
 	router.mutex.Lock()
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -136,7 +136,8 @@
 	run.attemptIndexes[send.AttemptID] = len(run.record.Attempts)
 	run.record.Attempts = append(run.record.Attempts, Attempt{Target: target.ID, Service: send.Service,
 		Kind: send.Kind, Grade: send.Pick.Grade, Limited: send.Pick.Limited, After: now.Sub(run.start)})
-	run.handler.router.recordSent(now, target.ID, choice.Attempt{ID: send.AttemptID, Route: run.plan.Route.Name, SentAt: now})
+	run.handler.router.recordSent(now, target.ID, choice.Attempt{ID: send.AttemptID, Route: run.plan.Route.Name,
+		DataCentre: target.DataCentre, SentAt: now})
 	suspicion := run.handler.router.suspicionTimeout(run.plan.Route)
 	run.handler.path.Sent(now, send.AttemptID, suspicion)
 	run.handler.crashes.Sent(crash.Attempt{ID: send.AttemptID, Request: run.record.ID, Fingerprint: run.plan.Fingerprint,
