--- a/reelctl/client/client.go
+++ b/reelctl/client/client.go
@@ -1,11 +1,13 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -74,8 +76,9 @@
 }
 
 // GetAll requests the path from the members concurrently. It returns the decoded replies and the members that did not
-// answer, both in the order of the members.
+// answer, both ordered by instance.
 func GetAll[Reply any](ctx context.Context, members []Member, path string) ([]Reply, []Unreachable) {
+	members = slices.SortedFunc(slices.Values(members), func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
 	replies, failures := make([]Reply, len(members)), make([]error, len(members))
 	slots := make(chan struct{}, maxCalls)
 	var group sync.WaitGroup
--- a/reelctl/offline.go
+++ b/reelctl/offline.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"os"
-	"text/tabwriter"
 
 	"github.com/go-faster/errors"
 
 	"shallotreel.example/reel/document"
 	"shallotreel.example/reelctl/compare"
+	"shallotreel.example/reelctl/table"
 )
 
 type checkCommand struct {
@@ -37,29 +37,26 @@
 	doc, err := document.Parse(data)
 	var fieldError *document.FieldError
 	if errors.As(err, &fieldError) {
-		return printCheckResult(checkResult{Field: fieldError.Field, Value: fieldError.Value, Remedy: fieldError.Remedy})
+		return checkResult{Field: fieldError.Field, Value: fieldError.Value, Remedy: fieldError.Remedy}.report()
 	}
 	if err != nil {
 		return err
 	}
-	return printCheckResult(checkResult{Valid: true, Revision: doc.Revision, Digest: doc.Digest(), Preset: doc.PresetInForce})
+	return checkResult{Valid: true, Revision: doc.Revision, Digest: doc.Digest(), Preset: doc.PresetInForce}.report()
 }
 
-func printCheckResult(checkResult checkResult) error {
-	switch {
-	case global.JSON:
-		if err := printJSON(checkResult); err != nil {
-			return err
-		}
-	case checkResult.Valid:
-		fmt.Printf("valid: revision %d, preset %s, digest %s\n", checkResult.Revision, checkResult.Preset, checkResult.Digest)
-	default:
-		fmt.Printf("invalid: field %s: value %s: %s\n", checkResult.Field, checkResult.Value, checkResult.Remedy)
-	}
-	if !checkResult.Valid {
-		return errNegativeResult
+// report prints the result.
+func (result checkResult) report() error {
+	return printResult(result, result.print, !result.Valid)
+}
+
+func (result checkResult) print() error {
+	if result.Valid {
+		_, err := fmt.Printf("valid: revision %d, preset %s, digest %s\n", result.Revision, result.Preset, result.Digest)
+		return err
 	}
-	return nil
+	_, err := fmt.Printf("invalid: field %s: value %s: %s\n", result.Field, result.Value, result.Remedy)
+	return err
 }
 
 type diffCommand struct {
@@ -80,13 +77,7 @@
 	if err != nil {
 		return err
 	}
-	if err := printChanges(changes); err != nil {
-		return err
-	}
-	if len(changes) > 0 {
-		return errNegativeResult
-	}
-	return nil
+	return printResult(changes, func() error { return printChanges(changes) }, len(changes) > 0)
 }
 
 func (command *diffCommand) changes(from *document.Document) ([]compare.Change, error) {
@@ -116,14 +107,11 @@
 }
 
 func printChanges(changes []compare.Change) error {
-	if global.JSON {
-		return printJSON(changes)
-	}
 	if len(changes) == 0 {
 		fmt.Println("no difference")
 		return nil
 	}
-	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	table := table.New(os.Stdout)
 	fmt.Fprintln(table, "FIELD\tFROM\tTO")
 	for _, change := range changes {
 		fmt.Fprintf(table, "%s\t%s\t%s\n", change.Field, change.From, change.To)
--- a/reelctl/online.go
+++ b/reelctl/online.go
@@ -2,18 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
 	"slices"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/go-faster/errors"
 
 	"shallotreel.example/reel/operator"
 	"shallotreel.example/reelctl/survey"
+	"shallotreel.example/reelctl/table"
 )
 
 // instanceOption is the option with the address of the instance to which a command connects.
@@ -47,19 +47,12 @@
 	if err != nil {
 		return err
 	}
-	if global.JSON {
-		err = printJSON(report)
-	} else {
-		err = command.print(report)
-	}
-	if err == nil && (!report.Uniform || len(report.Unreachable) > 0) {
-		return errNegativeResult
-	}
-	return err
+	isNegative := !report.Uniform || len(report.Unreachable) > 0
+	return printResult(report, func() error { return command.print(report) }, isNegative)
 }
 
 func (command *statusCommand) print(report survey.Report) error {
-	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	table := table.New(os.Stdout)
 	fmt.Fprintln(table, "INSTANCE\tDATA CENTRE\tSTANDING\tREVISION\tPRESET\tSNAPSHOTS\tRUNNING\tWAITING\tTARGETS\tQUARANTINED")
 	for _, status := range report.Statuses {
 		waiting := 0
@@ -81,7 +74,7 @@
 	return table.Flush()
 }
 
-func printTargets(table *tabwriter.Writer, statuses []operator.Status) {
+func printTargets(table io.Writer, statuses []operator.Status) {
 	fmt.Fprintln(table, "\nTARGET\tHOLDER\tSTATE\tIN FLIGHT\tQUEUED\tLIMIT\tSNAPSHOTS")
 	for _, status := range statuses {
 		for _, target := range status.Targets {
@@ -120,7 +113,7 @@
 	}
 	fmt.Printf("kind %s, revision %d, preset %s, snapshot %d, fingerprint %s (%s)\n", explanation.Kind,
 		explanation.Revision, explanation.Preset, explanation.Snapshot, explanation.Fingerprint, explanation.Verdict)
-	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	table := table.New(os.Stdout)
 	fmt.Fprintln(table, "SHARD\tTARGET\tHOLDER\tREASON")
 	for _, route := range explanation.Routes {
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", route.Shard, route.Target, route.Holder, route.Reason)
@@ -147,12 +140,3 @@
 	fmt.Printf("%s is leaving; it stops when its requests are finished\n", address)
 	return nil
 }
-
-func printJSON(value any) error {
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(value); err != nil {
-		return errors.Wrap(err, "print")
-	}
-	return nil
-}
--- a/reelctl/survey/survey.go
+++ b/reelctl/survey/survey.go
@@ -1,12 +1,10 @@
 package survey
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"net/netip"
 	"net/url"
-	"slices"
 
 	"shallotreel.example/reel/operator"
 	"shallotreel.example/reelctl/client"
@@ -32,20 +30,18 @@
 	}
 	var report Report
 	report.Statuses, report.Unreachable = client.GetAll[operator.Status](ctx, members, operator.StatusPath)
-	report.sort()
+	report.Uniform = isUniform(report.Statuses)
 	return report, nil
 }
 
-func (report *Report) sort() {
-	slices.SortFunc(report.Statuses, func(a, b operator.Status) int { return cmp.Compare(a.Instance, b.Instance) })
-	slices.SortFunc(report.Unreachable, func(a, b client.Unreachable) int { return cmp.Compare(a.Instance, b.Instance) })
-	report.Uniform = true
-	for _, status := range report.Statuses {
-		first := report.Statuses[0]
-		if status.Revision != first.Revision || status.Digest != first.Digest {
-			report.Uniform = false
+// isUniform reports whether all instances have the same revision and digest.
+func isUniform(statuses []operator.Status) bool {
+	for _, status := range statuses {
+		if status.Revision != statuses[0].Revision || status.Digest != statuses[0].Digest {
+			return false
 		}
 	}
+	return true
 }
 
 // Status requests the status of one instance.
--- /dev/null
+++ b/reelctl/table/doc.go
@@ -0,0 +1,2 @@
+// Package table provides the layout of the tables that reelctl prints.
+package table
--- a/reelctl/trace.go
+++ b/reelctl/trace.go
@@ -31,10 +31,7 @@
 	if err != nil {
 		return err
 	}
-	if global.JSON {
-		return printJSON(found)
-	}
-	return found.Print(os.Stdout)
+	return printResult(found, func() error { return found.Print(os.Stdout) }, false)
 }
 
 type marksCommand struct {
@@ -50,10 +47,7 @@
 		return err
 	}
 	marks := trace.Marks(lines)
-	if global.JSON {
-		return printJSON(marks)
-	}
-	return trace.PrintMarks(os.Stdout, marks)
+	return printResult(marks, func() error { return trace.PrintMarks(os.Stdout, marks) }, false)
 }
 
 // readLogs returns the lines of all files.
--- a/reelctl/trace/marks.go
+++ b/reelctl/trace/marks.go
@@ -5,7 +5,8 @@
 	"fmt"
 	"io"
 	"slices"
-	"text/tabwriter"
+
+	"shallotreel.example/reelctl/table"
 )
 
 // Mark is what the logs record about the mark on the requests with one fingerprint.
@@ -50,7 +51,7 @@
 
 // PrintMarks writes the marks as text: each with its verdict, the number of refusals, and why it stands.
 func PrintMarks(writer io.Writer, marks []Mark) error {
-	table := tabwriter.NewWriter(writer, 0, 4, 2, ' ', 0)
+	table := table.New(writer)
 	for _, mark := range marks {
 		fmt.Fprintf(table, "%s: %s, %d requests refused\n", mark.Fingerprint, orNone(mark.Verdict), mark.Refusals)
 		for _, line := range mark.Reasons {
--- a/reelctl/trace/print.go
+++ b/reelctl/trace/print.go
@@ -4,15 +4,16 @@
 	"fmt"
 	"io"
 	"strings"
-	"text/tabwriter"
 	"time"
+
+	"shallotreel.example/reelctl/table"
 )
 
 const clockLayout = "15:04:05.000"
 
 // Print writes the trace as text: each instance's attempts and result, then the context lines.
 func (trace *Trace) Print(writer io.Writer) error {
-	table := tabwriter.NewWriter(writer, 0, 4, 2, ' ', 0)
+	table := table.New(writer)
 	for _, completion := range trace.Completions {
 		fmt.Fprintf(table, "request %s at instance %s: route %s, version %d, started %s\n", completion.Request,
 			completion.Instance, orNone(completion.Route), completion.Version, completion.StartTime().Format(clockLayout))
--- a/reelctl/traffic.go
+++ b/reelctl/traffic.go
@@ -33,15 +33,7 @@
 		return err
 	}
 	report := traffic.EvacuationsOf(survey)
-	if global.JSON {
-		err = printJSON(report)
-	} else {
-		err = report.Print(os.Stdout)
-	}
-	if err == nil && !report.Uniform() {
-		return errNegativeResult
-	}
-	return err
+	return printResult(report, func() error { return report.Print(os.Stdout) }, !report.Uniform())
 }
 
 type loadCommand struct {
@@ -59,15 +51,7 @@
 	if err != nil {
 		return err
 	}
-	if global.JSON {
-		err = printJSON(report)
-	} else {
-		err = report.Print(os.Stdout)
-	}
-	if err == nil && len(report.Unreachable) > 0 {
-		return errNegativeResult
-	}
-	return err
+	return printResult(report, func() error { return report.Print(os.Stdout) }, len(report.Unreachable) > 0)
 }
 
 // load surveys the instances once, or twice if there is an interval.
--- a/reelctl/traffic/print.go
+++ b/reelctl/traffic/print.go
@@ -8,10 +8,10 @@
 	"slices"
 	"strconv"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"shallotreel.example/reelctl/client"
+	"shallotreel.example/reelctl/table"
 )
 
 const (
@@ -22,7 +22,7 @@
 
 // Print writes the report as tables.
 func (report Evacuations) Print(writer io.Writer) error {
-	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
+	table := table.New(writer)
 	fmt.Fprintln(table, "EVACUATED\tSINCE\tIN FORCE AT\tIN FLIGHT\tNOT IN FORCE AT")
 	for _, evacuation := range report.Evacuations {
 		fmt.Fprintf(table, "%s\t%s\t%d of %d\t%d\t%s\n", evacuation.DataCentre, formatTime(evacuation.Since), evacuation.InForce,
@@ -43,7 +43,7 @@
 
 // Print writes the report as tables, and below them for each group what would end its refusals.
 func (load Load) Print(writer io.Writer) error {
-	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
+	table := table.New(writer)
 	fmt.Fprintf(table, "Admitted and refused requests %s.\n", load.Unit)
 	fmt.Fprintln(table, "GROUP\tRANK\tADMITTED\tREFUSED\tREASONS\tREFUSED IN\tIN FLIGHT\tWAITING\tLIMIT\tEVIDENCE\tAGE")
 	for _, group := range load.Groups {
--- a/reelctl/traffic/traffic.go
+++ b/reelctl/traffic/traffic.go
@@ -1,11 +1,9 @@
 package traffic
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"net/netip"
-	"slices"
 
 	"github.com/go-faster/errors"
 
@@ -30,7 +28,6 @@
 	for _, member := range initial.Members {
 		members = append(members, client.Member{Instance: member.Name, Address: member.Metrics, State: member.State})
 	}
-	slices.SortFunc(members, func(a, b client.Member) int { return cmp.Compare(a.Instance, b.Instance) })
 	var survey Survey
 	survey.Statuses, survey.Unreachable = client.GetAll[operator.FrontStatus](ctx, members, operator.StatusPath)
 	return survey, nil
