Admission: whole requests are admitted before the first attempt

Cause: every request was let in. Under load the work was done at the targets and thrown away, and a flood of a less urgent kind took the most urgent one with it.

Change: reel/admit.Machine has a second kind of limit (NewAdaptive). Without evidence of overload there is none; it starts at what is in flight, shrinks once in a reaction time at most, grows while it is in use and is removed when nothing was refused for a while. What it allows is shared between routes: each keeps a part of its ordinary share, the rest goes by rank. The ingress has one machine for each set of services (ingress.Admission); a refused request ends with overloaded (503) before anything is sent.

The literals of Request in admit_test.go got field names, since the struct has more fields.

--- /dev/null
+++ b/reel/admit/adaptive.go
@@ -0,0 +1,153 @@
+package admit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	minPeriod         = 20 * time.Millisecond  // least reaction time
+	maxPeriod         = 250 * time.Millisecond // greatest reaction time
+	minEvidence       = 3                      // overloaded requests, or refused attempts, that start a limit
+	overloadedShare   = 0.2                    // share of the ended requests that is overloaded from which a limit starts or shrinks
+	turnedAwayShare   = 0.5                    // share of the attempts that found no room from which a limit starts
+	pressureSetpoint  = 0.5                    // pressure at which the limit is constant
+	maxDecrease       = 0.6                    // greatest decrease within one reaction time, as a factor
+	increaseStep      = 0.5                    // requests by which the limit grows within one reaction time
+	increaseFactor    = 1.03                   // least growth in the same time while the limit is large
+	recoveryFactor    = 1.5                    // growth in the same time while nothing is refused
+	minLimit          = 1.0                    // requests; keeps probing
+	minRemovalTime    = 300 * time.Millisecond // without a refusal, after which the limit is removed
+	limitMemory       = 10 * time.Second       // for which a removed limit is remembered
+	initialLimitShare = 0.8                    // of what is in flight when a limit starts
+)
+
+// adaptive limits the concurrent requests while there is evidence of overload. Within one reaction time, the latency of the
+// requests, the limit shrinks once at most, in proportion to the excess of the pressure over its setpoint, or grows by a
+// step if it is in use.
+type adaptive struct {
+	value       float64 // 0 for none
+	remembered  float64 // value when the last limit was removed
+	changedAt   time.Time
+	periodStart time.Time
+	counts      periodCounts
+	signal      Signal // newest evidence
+	signalAt    time.Time
+	refusedAt   time.Time
+	heldTime    time.Duration // EWMA of the time for which requests are in flight
+}
+
+// periodCounts is the evidence of one reaction time.
+type periodCounts struct {
+	attempts   int
+	turnedAway int     // attempts refused by targets, and waits for a target with free capacity
+	pressure   float64 // sum over the attempts
+	ended      int
+	overloaded int
+	refused    int // requests
+	peak       int // greatest number of requests in flight
+}
+
+func (adaptive *adaptive) limit() int {
+	if adaptive.value == 0 {
+		return math.MaxInt
+	}
+	return max(1, int(math.Round(adaptive.value)))
+}
+
+// attempt records the end of a sub-request, or a wait for a target: the share of the target's slots for which requests wait,
+// at least 1 if it was turned away.
+func (adaptive *adaptive) attempt(now time.Time, running int, queue float64, turnedAway bool) {
+	adaptive.counts.attempts++
+	adaptive.counts.pressure += min(queue, 1)
+	if turnedAway {
+		adaptive.counts.turnedAway++
+	}
+	adaptive.advance(now, running)
+}
+
+func (adaptive *adaptive) ended(now time.Time, running int, signal Signal) {
+	if signal == Neutral {
+		return
+	}
+	adaptive.signal, adaptive.signalAt = signal, now
+	adaptive.counts.ended++
+	if signal == Overloaded {
+		adaptive.counts.overloaded++
+	}
+	adaptive.advance(now, running)
+}
+
+// noteRefusal records that a request was refused because of the limit.
+func (adaptive *adaptive) noteRefusal(now time.Time) {
+	adaptive.refusedAt = now
+	adaptive.counts.refused++
+}
+
+// advance starts a limit as soon as the evidence suffices, and ends the period after the reaction time.
+func (adaptive *adaptive) advance(now time.Time, running int) {
+	counts := &adaptive.counts
+	counts.peak = max(counts.peak, running)
+	if adaptive.value == 0 && counts.showOverload() {
+		adaptive.begin(now, running)
+		return
+	}
+	period := min(max(adaptive.heldTime, minPeriod), maxPeriod)
+	if now.Sub(adaptive.periodStart) < period {
+		return
+	}
+	if adaptive.value > 0 {
+		adaptive.adjust(now)
+	}
+	adaptive.periodStart, adaptive.counts = now, periodCounts{peak: running}
+}
+
+// showOverload reports whether the counts suffice to start a limit.
+func (counts *periodCounts) showOverload() bool {
+	return counts.overloaded >= minEvidence && float64(counts.overloaded) >= overloadedShare*float64(counts.ended) ||
+		counts.turnedAway >= minEvidence && float64(counts.turnedAway) >= turnedAwayShare*float64(counts.attempts)
+}
+
+// begin starts a limit at what is in flight, or at the last limit if that was lower and is not long ago.
+func (adaptive *adaptive) begin(now time.Time, running int) {
+	adaptive.value = max(minLimit, initialLimitShare*float64(running))
+	if adaptive.remembered > 0 && now.Sub(adaptive.changedAt) < limitMemory {
+		adaptive.value = min(adaptive.value, adaptive.remembered)
+	}
+	adaptive.changedAt, adaptive.refusedAt = now, now
+	adaptive.periodStart, adaptive.counts = now, periodCounts{peak: running}
+}
+
+// adjust changes the limit at the end of a period.
+func (adaptive *adaptive) adjust(now time.Time) {
+	counts := adaptive.counts
+	pressure := 0.0
+	if counts.attempts > 0 {
+		pressure = counts.pressure / float64(counts.attempts)
+	}
+	isOverloaded := counts.overloaded > 0 && float64(counts.overloaded) >= overloadedShare*float64(counts.ended)
+	switch {
+	case isOverloaded:
+		adaptive.value *= maxDecrease
+	case pressure > pressureSetpoint:
+		excess := (pressure - pressureSetpoint) / (1 - pressureSetpoint)
+		adaptive.value *= 1 - (1-maxDecrease)*excess
+	case counts.ended+counts.attempts == 0:
+	case counts.refused == 0 && now.Sub(adaptive.refusedAt) >= minRemovalTime:
+		adaptive.remembered, adaptive.value, adaptive.changedAt = adaptive.value, 0, now
+		return
+	case counts.refused == 0:
+		adaptive.value *= recoveryFactor
+	default:
+		adaptive.value = max(adaptive.value+increaseStep, adaptive.value*increaseFactor)
+	}
+	adaptive.value = max(adaptive.value, minLimit)
+}
+
+// rate returns the requests a second that the limit allows at the current time in flight.
+func (adaptive *adaptive) rate() float64 {
+	if adaptive.value == 0 {
+		return math.Inf(1)
+	}
+	return adaptive.value / max(adaptive.heldTime, time.Millisecond).Seconds()
+}
--- a/reel/admit/admit.go
+++ b/reel/admit/admit.go
@@ -8,16 +8,9 @@
 )
 
 const (
-	initialWindow       = 32.0                   // concurrent requests
-	minWindow           = 2.0                    // concurrent requests
-	maxWindow           = 4096.0                 // concurrent requests
-	decreaseFactor      = 0.9                    // multiplies the window after an overload refusal
-	adjustmentStep      = 0.5                    // scales the additive changes of the window, in requests
-	congestedSetpoint   = 0.3                    // fraction of congested requests at which the window is constant
-	minDecreaseInterval = 100 * time.Millisecond // least time between two multiplicative decreases
-	minQueueLimit       = 2                      // requests that may wait even if the preset allows fewer
-	initialServiceTime  = 20 * time.Millisecond  // estimate before the first complete request
-	serviceTimeGain     = 0.05                   // weight of the newest sample in the EWMA of the service time
+	minQueueLimit      = 2                     // requests that may wait even if the preset allows fewer
+	initialServiceTime = 20 * time.Millisecond // estimate before the first complete request
+	serviceTimeGain    = 0.05                  // weight of the newest sample in the EWMA of the service time
 )
 
 // ID identifies one request within a Machine; the host assigns it.
@@ -29,6 +22,9 @@
 	Kind     string  // class of the fair queue
 	Weight   float64 // share of the kind in the fair queue, relative to the other kinds
 	Deadline time.Time
+	Rank     int           // 0 is the highest; a waiting request starts before those of lower ranks
+	MaxWait  time.Duration // longest time in the queue, 0 for as long as the deadline allows
+	Key      string        // same when a caller repeats the request, empty if that is not known
 }
 
 // Decision states that a request may start or is refused.
@@ -39,23 +35,29 @@
 	Reason     string
 }
 
-// Machine limits the concurrent requests to one source by a window. An overload refusal shrinks the window
-// multiplicatively. Otherwise it shrinks after each congested request and grows after each uncongested one, by steps
-// that balance when the fraction congestedSetpoint of the requests is congested. It grows only while at least half of
-// it is in use. Requests outside the window wait in a fair queue. A Machine is not safe for concurrent use.
+// control decides how many requests may run at the same time.
+type control interface {
+	limit() int
+	// ended records the end of a request, which was one of running.
+	ended(now time.Time, running int, signal Signal)
+}
+
+// Machine limits the concurrent requests to one source. Requests outside the limit wait in a fair queue, in order of their
+// ranks. The machine of New has a limit from the first request on; that of NewAdaptive has one only while there is evidence of
+// overload. A Machine is not safe for concurrent use.
 type Machine struct {
-	window        float64 // limit of running requests; its fraction is kept between adjustments
+	control       control
 	running       int
-	queue         queue.Queue[Request]
+	queues        [maxRank + 1]queue.Queue[Request]
 	serviceTime   time.Duration // EWMA over the complete requests
-	decreasedAt   time.Time     // last multiplicative decrease
-	queuePerSlot  float64       // waiting requests per request of the window
+	queuePerSlot  float64       // waiting requests per request of the limit
 	minRetryAfter time.Duration
+	overload      *overload // nil without an adaptive limit
 }
 
 // New returns a machine with the initial window and no requests.
 func New() *Machine {
-	return &Machine{window: initialWindow, serviceTime: initialServiceTime, queuePerSlot: 0.5, minRetryAfter: time.Second}
+	return &Machine{control: &window{size: initialWindow}, serviceTime: initialServiceTime, queuePerSlot: 0.5, minRetryAfter: time.Second}
 }
 
 // Configure sets the number of requests that may wait per request of the window and the least RetryAfter of an overload
@@ -72,106 +74,135 @@
 	if remaining <= 0 {
 		return []Decision{{request.ID, result.TooLate, 0, "deadline passed"}}
 	}
-	if machine.running < machine.limit() && machine.queue.Len() == 0 {
+	if refusal, refused := machine.screen(now, request); refused {
+		return []Decision{refusal}
+	}
+	if machine.hasRoom(request) && machine.waitingAhead(request) == 0 {
 		return []Decision{machine.start(request, "window has room")}
 	}
 	if wait := machine.expectedWait(); wait+machine.serviceTime > remaining {
-		return []Decision{{request.ID, result.Overloaded, machine.retryAfter(wait), "would miss its deadline"}}
+		return []Decision{machine.refuse(now, request, "would miss its deadline")}
 	}
-	machine.queue.Push(request.Kind, request.Weight, request.Deadline, request)
+	machine.push(now, request)
 	var decisions []Decision
-	for machine.queue.Len() > machine.queueLimit() {
-		evicted, _ := machine.queue.Evict()
-		decisions = append(decisions, Decision{evicted.ID, result.Overloaded,
-			machine.retryAfter(machine.expectedWait()), "queue is full"})
+	for machine.waiting() > machine.queueLimit() {
+		decisions = append(decisions, machine.refuse(now, machine.evict(), "queue is full"))
 	}
 	return decisions
 }
 
-// Signal is the load at the targets that an ended request observed.
-type Signal int
+// push queues the request.
+func (machine *Machine) push(now time.Time, request Request) {
+	latest := request.Deadline
+	if longest := now.Add(request.MaxWait + machine.serviceTime); request.MaxWait > 0 && longest.Before(latest) {
+		latest = longest
+	}
+	machine.queues[rankOf(request)].Push(request.Kind, request.Weight, latest, request)
+}
 
-// Signals of ended requests, from the lightest load to the heaviest.
-const (
-	Uncongested Signal = iota // neither of the other signals applies
-	Congested                 // a sub-request waited at a holder for longer than it ran
-	Overloaded                // a sub-request was refused because of overload
-)
+// evict removes a waiting request of the lowest rank.
+func (machine *Machine) evict() Request {
+	for rank := maxRank; rank > 0; rank-- {
+		if request, ok := machine.queues[rank].Evict(); ok {
+			return request
+		}
+	}
+	request, _ := machine.queues[0].Evict()
+	return request
+}
+
+func rankOf(request Request) int { return min(max(request.Rank, 0), maxRank) }
 
 // Done records the end of a started request and returns the decisions that follow from it. The duration elapsed is 0
 // if the request did not complete, and then does not count towards the service time.
 func (machine *Machine) Done(now time.Time, elapsed time.Duration, signal Signal) []Decision {
-	busy := 2*machine.running >= machine.limit()
+	running := machine.running
 	machine.running = max(0, machine.running-1)
 	if elapsed > 0 {
 		machine.serviceTime += time.Duration(serviceTimeGain * float64(elapsed-machine.serviceTime))
 	}
-	switch signal {
-	case Overloaded:
-		if now.Sub(machine.decreasedAt) >= minDecreaseInterval {
-			machine.decreasedAt = now
-			machine.resize(machine.window * decreaseFactor)
-		}
-	case Congested:
-		machine.resize(machine.window - adjustmentStep*(1-congestedSetpoint))
-	case Uncongested:
-		if busy {
-			machine.resize(machine.window + adjustmentStep*congestedSetpoint)
-		}
-	}
+	machine.control.ended(now, running, signal)
 	return machine.Tick(now)
 }
 
-func (machine *Machine) resize(window float64) {
-	machine.window = min(maxWindow, max(minWindow, window))
-}
-
 // Cancel removes a waiting request without a decision; it has no effect on a request that already has one.
 func (machine *Machine) Cancel(id ID) {
-	machine.queue.Remove(func(request Request) bool { return request.ID == id })
+	for rank := range machine.queues {
+		machine.queues[rank].Remove(func(request Request) bool { return request.ID == id })
+	}
 }
 
 // Tick refuses the waiting requests that would miss their deadline and starts those for which the window has room.
 func (machine *Machine) Tick(now time.Time) []Decision {
 	var decisions []Decision
-	for _, expired := range machine.queue.Expire(now.Add(machine.serviceTime)) {
-		decisions = append(decisions, Decision{expired.ID, result.Overloaded,
-			machine.retryAfter(machine.expectedWait()), "would miss its deadline"})
-	}
-	for machine.running < machine.limit() {
-		request, ok := machine.queue.Pop()
-		if !ok {
-			break
+	for rank := range machine.queues {
+		queue := &machine.queues[rank]
+		for _, expired := range queue.Expire(now.Add(machine.serviceTime)) {
+			decisions = append(decisions, machine.refuse(now, expired, "would miss its deadline"))
+		}
+		for machine.running < machine.limit() {
+			request, ok := queue.Pop()
+			if !ok {
+				break
+			}
+			decisions = append(decisions, machine.start(request, "window has room after a wait"))
 		}
-		decisions = append(decisions, machine.start(request, "window has room after a wait"))
 	}
 	return decisions
 }
 
 // Load returns the number of running requests, of waiting ones, and of those that may run at the same time.
 func (machine *Machine) Load() (running, waiting, limit int) {
-	return machine.running, machine.queue.Len(), machine.limit()
+	return machine.running, machine.waiting(), machine.limit()
 }
 
 func (machine *Machine) start(request Request, reason string) Decision {
 	machine.running++
+	machine.overload.noteStart(request)
 	return Decision{request.ID, result.OK, 0, reason}
 }
 
+// refuse returns the refusal of a request that was to wait.
+func (machine *Machine) refuse(now time.Time, request Request, reason string) Decision {
+	retryAfter := max(machine.minRetryAfter, machine.expectedWait())
+	if machine.overload != nil {
+		retryAfter = machine.overload.refuse(now, request)
+	}
+	return Decision{request.ID, result.Overloaded, retryAfter, reason}
+}
+
+// waitingAhead returns the number of waiting requests that start before the request.
+func (machine *Machine) waitingAhead(request Request) int {
+	total := 0
+	for rank := range rankOf(request) + 1 {
+		total += machine.queues[rank].Len()
+	}
+	return total
+}
+
+func (machine *Machine) waiting() int {
+	total := 0
+	for rank := range machine.queues {
+		total += machine.queues[rank].Len()
+	}
+	return total
+}
+
 func (machine *Machine) limit() int {
-	return int(machine.window)
+	return machine.control.limit()
+}
+
+// hasRoom reports whether the limit allows the request to start now.
+func (machine *Machine) hasRoom(request Request) bool {
+	return machine.running < machine.limit() || machine.overload.mayExceed(request, machine.running, machine.limit())
 }
 
 // queueLimit returns the number of requests that may wait.
 func (machine *Machine) queueLimit() int {
-	return max(minQueueLimit, int(machine.window*machine.queuePerSlot))
+	return max(minQueueLimit, int(float64(machine.limit())*machine.queuePerSlot))
 }
 
 // expectedWait estimates how long a request that arrives now would wait.
 func (machine *Machine) expectedWait() time.Duration {
-	return machine.serviceTime * time.Duration(machine.queue.Len()) / time.Duration(max(1, machine.limit()))
-}
-
-func (machine *Machine) retryAfter(wait time.Duration) time.Duration {
-	return max(machine.minRetryAfter, wait)
+	return machine.serviceTime * time.Duration(machine.waiting()) / time.Duration(max(1, machine.limit()))
 }
--- a/reel/admit/admit_test.go
+++ b/reel/admit/admit_test.go
@@ -64,7 +64,7 @@
 	offer := func(now time.Time, kind string, weight float64) {
 		next++
 		kinds[next] = kind
-		for _, decision := range machine.Offer(now, Request{next, kind, weight, at(100000)}) {
+		for _, decision := range machine.Offer(now, Request{ID: next, Kind: kind, Weight: weight, Deadline: at(100000)}) {
 			if decision.Code == result.OK {
 				started[decision.ID] = kinds[decision.ID]
 			}
@@ -135,7 +135,7 @@
 			case 0, 1, 2:
 				offered++
 				deadline := at(now + rapid.IntRange(-5, 500).Draw(t, "deadline"))
-				apply(machine.Offer(at(now), Request{ID(offered), "k", 1, deadline}))
+				apply(machine.Offer(at(now), Request{ID: ID(offered), Kind: "k", Weight: 1, Deadline: deadline}))
 			case 3:
 				if running > 0 {
 					running--
--- /dev/null
+++ b/reel/admit/shares.go
@@ -0,0 +1,183 @@
+package admit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	sharePeriod  = 50 * time.Millisecond  // between two computations of the shares
+	demandTime   = 250 * time.Millisecond // averages the recent demand
+	ordinaryTime = 20 * time.Second       // averages the demand that weights the shares, while there is no limit
+	frozenFactor = 20                     // times slower while there is a limit, so that a flood gains little weight
+	minShare     = 0.6                    // share of its weight that each class keeps at least
+	maxRank      = 7                      // ranks above count as this one
+	classTTL     = time.Minute            // without requests, after which a class is deleted
+	minOrdinary  = 0.1                    // requests a second, so that the weight of a class is above 0
+	returnedDebt = 2.0                    // requests by which callers that return may be ahead of their class
+	creditCap    = 1.0                    // requests that a class may save up
+)
+
+// class is the requests of one kind and rank within a machine.
+type class struct {
+	kind     string
+	rank     int
+	arrivals int     // in this period
+	demand   float64 // requests a second, recently
+	ordinary float64 // requests a second, over a longer time
+	periods  int     // that ordinary averages
+	share    float64 // part of the demand that is admitted, from 0 to 1
+	credit   float64 // requests that may be admitted
+	usedAt   time.Time
+}
+
+// shares divides what may be admitted between classes. Each class keeps a part of its ordinary share; the rest goes by rank, and
+// within a rank by ordinary demand. Requests above the share of their class are refused evenly.
+type shares struct {
+	classes   []*class
+	updatedAt time.Time
+}
+
+// classOf returns the class, created if necessary.
+func (shares *shares) classOf(now time.Time, kind string, rank int) *class {
+	found := shares.find(kind, rank)
+	if found == nil {
+		found = &class{kind: kind, rank: rank, share: 1}
+		shares.classes = append(shares.classes, found)
+	}
+	found.usedAt = now
+	return found
+}
+
+// find returns the class, or nil if there is none.
+func (shares *shares) find(kind string, rank int) *class {
+	for _, class := range shares.classes {
+		if class.kind == kind && class.rank == rank {
+			return class
+		}
+	}
+	return nil
+}
+
+// update computes the shares of the rate, in requests a second, once in a period.
+func (shares *shares) update(now time.Time, rate float64) {
+	elapsed := now.Sub(shares.updatedAt)
+	if elapsed < sharePeriod {
+		return
+	}
+	if shares.updatedAt.IsZero() {
+		shares.updatedAt = now
+		return
+	}
+	shares.updatedAt = now
+	shares.classes = slices.DeleteFunc(shares.classes, func(class *class) bool { return now.Sub(class.usedAt) >= classTTL })
+	for _, class := range shares.classes {
+		class.measure(elapsed, !math.IsInf(rate, 1))
+	}
+	shares.divide(rate)
+}
+
+// measure updates the averages of the demand.
+func (class *class) measure(elapsed time.Duration, limited bool) {
+	current := float64(class.arrivals) / elapsed.Seconds()
+	class.arrivals = 0
+	class.periods++
+	class.demand += max(gain(elapsed, demandTime), 1/float64(class.periods)) * (current - class.demand)
+	slow := ordinaryTime
+	if limited {
+		slow *= frozenFactor
+	}
+	class.ordinary += max(gain(elapsed, slow), 1/float64(class.periods)) * (current - class.ordinary)
+}
+
+// gain returns the weight of the newest sample in a moving average over the time.
+func gain(elapsed, over time.Duration) float64 {
+	return 1 - math.Exp(-elapsed.Seconds()/over.Seconds())
+}
+
+// divide gives each class its minimum, and what is left to the classes by rank.
+func (shares *shares) divide(rate float64) {
+	total, demand := 0.0, 0.0
+	for _, class := range shares.classes {
+		total += class.weight()
+		demand += class.demand
+	}
+	if demand <= rate {
+		for _, class := range shares.classes {
+			class.share = 1
+		}
+		return
+	}
+	granted := make(map[*class]float64, len(shares.classes))
+	left := rate
+	for _, class := range shares.classes {
+		granted[class] = min(class.demand, minShare*rate*class.weight()/total)
+		left -= granted[class]
+	}
+	byRank := slices.SortedStableFunc(slices.Values(shares.classes), func(a, b *class) int { return cmp.Compare(a.rank, b.rank) })
+	for len(byRank) > 0 && left > 0 {
+		end := slices.IndexFunc(byRank, func(class *class) bool { return class.rank != byRank[0].rank })
+		if end < 0 {
+			end = len(byRank)
+		}
+		left = fill(byRank[:end], granted, left)
+		byRank = byRank[end:]
+	}
+	for _, class := range shares.classes {
+		class.share = 1
+		if class.demand > 0 {
+			class.share = min(1, granted[class]/class.demand)
+		}
+	}
+}
+
+// fill raises what is granted to classes of one rank by their weights, up to their demands, and returns what is left.
+func fill(classes []*class, granted map[*class]float64, left float64) float64 {
+	open := slices.Clone(classes)
+	for len(open) > 0 && left > 0 {
+		total := 0.0
+		for _, class := range open {
+			total += class.weight()
+		}
+		rest, satisfied := left, false
+		for _, class := range open {
+			part := left * class.weight() / total
+			missing := class.demand - granted[class]
+			if missing <= part {
+				granted[class], satisfied = class.demand, true
+				rest -= missing
+			}
+		}
+		if !satisfied {
+			for _, class := range open {
+				granted[class] += left * class.weight() / total
+			}
+			return 0
+		}
+		left = rest
+		open = slices.DeleteFunc(open, func(class *class) bool { return granted[class] >= class.demand })
+	}
+	return max(left, 0)
+}
+
+func (class *class) weight() float64 { return max(class.ordinary, minOrdinary) }
+
+// take reports whether the share of the class allows a request now. One that returns as it was told may be ahead of others.
+func (class *class) take(returned bool) bool {
+	if class.share >= 1 {
+		class.credit = 0
+		return true
+	}
+	class.credit = min(class.credit+class.share, creditCap)
+	least := 1.0
+	if returned {
+		least -= returnedDebt
+	}
+	if class.credit < least {
+		return false
+	}
+	class.credit--
+	return true
+}
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -75,6 +75,7 @@
 	router       *ingress.Router
 	pool         *connpool.Pool
 	handler      *ingress.Handler
+	admission    *ingress.Admission
 	crashes      *crashwatch.Watch
 	path         *reachwatch.Watch
 	servers      []*http.Server
@@ -147,7 +148,9 @@
 	front.feed = feed.New(front.ctx, front.system, feed.Config{Store: platform.NewStore(config.StoreAddress, storeDialTimeout),
 		Peers: front.roster, Incarnation: front.self.Incarnation, Log: front.log, OnReady: front.markConfigured,
 		OnTargetChange: func(change catalogue.Change) { front.crashes.TargetChanged(time.Now(), change) }})
-	front.handler = ingress.New(front.feed, front.router, front.pool, front.crashes, front.path, front.helpers, newRecorder(front.log, front.scope))
+	front.admission = ingress.NewAdmission(front.log, front.scope, random())
+	front.handler = ingress.New(front.feed, front.router, front.pool, front.crashes, front.path, front.helpers, newRecorder(front.log, front.scope),
+		ingress.WithAdmission(front.admission))
 	relayServer := relay.NewServer(front.handler, front.log)
 	if front.peerServer, err = peerrpc.Serve(config.PeerAddress, cataloguesync.NewService(front.feed), relayServer.Service()); err != nil {
 		return err
@@ -209,6 +212,7 @@
 		case now := <-ticker.C:
 			front.pool.Sweep(now)
 			front.router.Sweep(now)
+			front.admission.Sweep(now)
 			front.announceLoad(now, meter)
 			front.updateGauges()
 		}
--- /dev/null
+++ b/shallotreel/ingress/group.go
@@ -0,0 +1,335 @@
+package ingress
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"shallotreel.example/reel/admit"
+	"shallotreel.example/reel/catalogue"
+	"shallotreel.example/reel/choice"
+	"shallotreel.example/reel/result"
+)
+
+// group runs the admission machine of the requests to one set of services. It is safe for concurrent use.
+type group struct {
+	services    []string
+	admission   *Admission
+	usedAt      time.Time // guarded by the mutex of the admission
+	mutex       sync.Mutex
+	machine     *admit.Machine
+	lastID      admit.ID
+	waiting     map[admit.ID]chan admit.Decision
+	ranks       map[int]*rankCounts
+	limitGauge  tally.Gauge
+	isOver      bool // whether the group is known to refuse requests
+	metricNames map[string]*routeMetrics
+}
+
+// rankCounts counts the requests of one rank since the start of the group.
+type rankCounts struct {
+	admitted int
+	refused  map[string]int // by reason
+	inFlight int
+	waiting  int
+}
+
+// routeMetrics are the metrics of one route.
+type routeMetrics struct {
+	scope    tally.Scope
+	admitted tally.Counter
+	inFlight tally.Gauge
+	running  int
+}
+
+// ticket is the admission of one request. Its counters may be changed by any goroutine.
+type ticket struct {
+	group      *group
+	route      *catalogue.Route
+	admittedAt time.Time
+	full       map[string]bool // services of which no target had free capacity; of the goroutine of the request
+	attempts   atomic.Int32
+	refused    atomic.Int32
+	noRoom     atomic.Int32
+	queued     atomic.Int32
+}
+
+func newGroup(services []string, random *rand.Rand, admission *Admission) *group {
+	tags := map[string]string{"group": services[0], "services": strconv.Itoa(len(services))}
+	return &group{services: services, admission: admission, machine: admit.NewAdaptive(random), waiting: map[admit.ID]chan admit.Decision{},
+		ranks: map[int]*rankCounts{}, limitGauge: admission.scope.Tagged(tags).Gauge("admission_limit"), metricNames: map[string]*routeMetrics{}}
+}
+
+// acquire waits until the request may start, is refused, or ctx is done. After a decision with the code OK, the caller must call
+// release.
+func (group *group) acquire(ctx context.Context, now time.Time, route *catalogue.Route, request admit.Request) admit.Decision {
+	group.mutex.Lock()
+	group.lastID++
+	request.ID = group.lastID
+	decided := make(chan admit.Decision, 1)
+	group.waiting[request.ID] = decided
+	group.notify(group.machine.Offer(now, request))
+	group.rank(route).waiting++
+	group.mutex.Unlock()
+	decision := group.await(ctx, request, decided)
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.count(route, decision)
+	group.noteChange(time.Now())
+	return decision
+}
+
+// await returns the decision of the request.
+func (group *group) await(ctx context.Context, request admit.Request, decided chan admit.Decision) admit.Decision {
+	select {
+	case decision := <-decided:
+		return decision
+	default:
+	}
+	timer := time.NewTimer(request.MaxWait)
+	defer timer.Stop()
+	for {
+		select {
+		case decision := <-decided:
+			return decision
+		case <-ctx.Done():
+			return group.cancel(request.ID, decided)
+		case <-timer.C:
+			group.tick(time.Now())
+			timer.Reset(time.Millisecond) // the machine refuses it as soon as its wait is over by the time of another event
+		}
+	}
+}
+
+// cancel removes a request from the queue. If its start has been granted in the meantime, cancel ends it.
+func (group *group) cancel(id admit.ID, decided chan admit.Decision) admit.Decision {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.machine.Cancel(id)
+	delete(group.waiting, id)
+	select {
+	case decision := <-decided:
+		if decision.Code == result.OK {
+			group.notify(group.machine.End(time.Now(), 0, admit.Neutral))
+		}
+	default:
+	}
+	return admit.Decision{ID: id, Code: result.Canceled}
+}
+
+func (group *group) tick(now time.Time) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.notify(group.machine.Tick(now))
+}
+
+// release ends an admitted request and starts waiting ones.
+func (group *group) release(now time.Time, ticket *ticket, signal admit.Signal) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.rank(ticket.route).inFlight--
+	group.metrics(ticket.route).running--
+	group.notify(group.machine.End(now, now.Sub(ticket.admittedAt), signal))
+	group.noteChange(now)
+}
+
+// notify passes the decisions to the requests that wait for them.
+func (group *group) notify(decisions []admit.Decision) {
+	for _, decision := range decisions {
+		if decided, ok := group.waiting[decision.ID]; ok {
+			delete(group.waiting, decision.ID)
+			decided <- decision
+		}
+	}
+}
+
+// count counts a decision.
+func (group *group) count(route *catalogue.Route, decision admit.Decision) {
+	counts, metrics := group.rank(route), group.metrics(route)
+	counts.waiting--
+	switch decision.Code {
+	case result.OK:
+		counts.admitted++
+		counts.inFlight++
+		metrics.admitted.Inc(1)
+		metrics.running++
+	case result.Canceled:
+	default:
+		counts.refused[decision.Reason]++
+		metrics.scope.Tagged(map[string]string{"reason": decision.Reason}).Counter("requests_refused").Inc(1)
+	}
+}
+
+func (group *group) rank(route *catalogue.Route) *rankCounts {
+	counts, ok := group.ranks[route.Priority]
+	if !ok {
+		counts = &rankCounts{refused: map[string]int{}}
+		group.ranks[route.Priority] = counts
+	}
+	return counts
+}
+
+func (group *group) metrics(route *catalogue.Route) *routeMetrics {
+	metrics, ok := group.metricNames[route.Name]
+	if !ok {
+		scope := group.admission.scope.Tagged(map[string]string{"route": route.Name, "rank": strconv.Itoa(route.Priority)})
+		metrics = &routeMetrics{scope: scope, admitted: scope.Counter("requests_admitted"), inFlight: scope.Gauge("requests_in_flight")}
+		group.metricNames[route.Name] = metrics
+	}
+	return metrics
+}
+
+// noteChange writes a log line when the group begins or ends to refuse requests.
+func (group *group) noteChange(now time.Time) {
+	state := group.machine.State(now)
+	if state.Refusing == group.isOver {
+		return
+	}
+	group.isOver = state.Refusing
+	running, waiting, _ := group.machine.Load()
+	message := "group refuses requests"
+	if !state.Refusing {
+		message = "group admits all requests again"
+	}
+	group.admission.log.WithFields(logrus.Fields{"group": group.services[0], "services": len(group.services), "limit": state.Limit,
+		"in_flight": running, "waiting": waiting, "evidence": state.Signal.String()}).Info(message)
+}
+
+func (group *group) isRefusing(now time.Time) bool {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.machine.State(now).Refusing
+}
+
+func (group *group) updateGauges(now time.Time) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.noteChange(now)
+	group.limitGauge.Update(float64(group.machine.State(now).Limit))
+	for _, metrics := range group.metricNames {
+		metrics.inFlight.Update(float64(metrics.running))
+	}
+}
+
+// attemptEnded records the end of an attempt of an admitted request, and what its target reported.
+func (ticket *ticket) attemptEnded(now time.Time, outcome choice.Outcome, report choice.Report) {
+	queue, turnedAway := 0.0, false
+	if report.Load != nil {
+		queue = float64(report.Load.Waiting) / float64(max(report.Load.Slots, 1))
+	}
+	switch outcome {
+	case choice.Answered:
+	case choice.Refused:
+		isFull := report.Load == nil || report.Load.Waiting > 0 || report.Load.Running >= report.Load.Slots
+		if report.Leaving || !isFull {
+			return
+		}
+		turnedAway, queue = true, 1
+	case choice.ConnectionsExhausted:
+		turnedAway, queue = true, 1
+	default:
+		ticket.attempts.Add(1)
+		return
+	}
+	ticket.attempts.Add(1)
+	switch {
+	case turnedAway:
+		ticket.refused.Add(1)
+	case queue >= queuedShare:
+		ticket.queued.Add(1)
+	}
+	ticket.group.attempt(now, queue, turnedAway)
+}
+
+// queuedShare is the queue relative to the slots of a target from which its answer counts as queued.
+const queuedShare = 0.5
+
+// noRoomAt records that no target of the service had free capacity.
+func (ticket *ticket) noRoomAt(now time.Time, service string) {
+	if ticket.full[service] {
+		return
+	}
+	ticket.full[service] = true
+	ticket.attempts.Add(1)
+	ticket.noRoom.Add(1)
+	ticket.group.attempt(now, 1, true)
+}
+
+func (group *group) attempt(now time.Time, queue float64, turnedAway bool) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.machine.Attempt(now, queue, turnedAway)
+}
+
+func (ticket *ticket) evidence() admit.Evidence {
+	return admit.Evidence{Attempts: int(ticket.attempts.Load()), Refused: int(ticket.refused.Load()), NoRoom: int(ticket.noRoom.Load()),
+		Queued: int(ticket.queued.Load())}
+}
+
+// GroupLoad is the state of the admission of the requests to one set of services, for operators.
+type GroupLoad struct {
+	Service     string        `json:"service"`  // name of the first service
+	Services    int           `json:"services"` // number of services
+	Limit       int           `json:"limit"`    // concurrent requests, 0 for none
+	InFlight    int           `json:"in_flight"`
+	Refusing    bool          `json:"refusing"`
+	Evidence    string        `json:"evidence"`     // newest evidence, empty if there is none
+	EvidenceAge time.Duration `json:"evidence_age"` // age of it, in nanoseconds
+	Ranks       []RankLoad    `json:"ranks"`
+}
+
+// RankLoad is the state of the requests of one rank.
+type RankLoad struct {
+	Rank     int            `json:"rank"`
+	Admitted int            `json:"admitted"` // since the start of the group
+	Refused  map[string]int `json:"refused"`  // in the same time, by reason
+	InFlight int            `json:"in_flight"`
+	Waiting  int            `json:"waiting"`
+}
+
+// Load returns the state of the admission of each group.
+func (handler *Handler) Load() []GroupLoad {
+	now := time.Now()
+	handler.admission.mutex.Lock()
+	groups := make([]*group, 0, len(handler.admission.groups))
+	for _, group := range handler.admission.groups {
+		groups = append(groups, group)
+	}
+	handler.admission.mutex.Unlock()
+	var loads []GroupLoad
+	for _, group := range groups {
+		loads = append(loads, group.load(now))
+	}
+	slices.SortFunc(loads, func(a, b GroupLoad) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Services, b.Services))
+	})
+	return loads
+}
+
+func (group *group) load(now time.Time) GroupLoad {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	state := group.machine.State(now)
+	running, _, _ := group.machine.Load()
+	load := GroupLoad{Service: group.services[0], Services: len(group.services), Limit: state.Limit, InFlight: running, Refusing: state.Refusing}
+	if !state.SignalAt.IsZero() {
+		load.Evidence, load.EvidenceAge = state.Signal.String(), now.Sub(state.SignalAt)
+	}
+	for rank, counts := range group.ranks {
+		refused := map[string]int{}
+		for reason, count := range counts.refused {
+			refused[reason] = count
+		}
+		load.Ranks = append(load.Ranks, RankLoad{rank, counts.admitted, refused, counts.inFlight, counts.waiting})
+	}
+	slices.SortFunc(load.Ranks, func(a, b RankLoad) int { return cmp.Compare(a.Rank, b.Rank) })
+	return load
+}
--- a/shallotreel/ingress/handler.go
+++ b/shallotreel/ingress/handler.go
@@ -34,6 +34,7 @@
 	path               *reachwatch.Watch
 	helpers            Helpers
 	recorder           Recorder
+	admission          *Admission
 	keepAlivesDisabled atomic.Bool
 	isOpen             atomic.Bool
 	running            atomic.Int64
@@ -88,8 +89,13 @@
 }
 
 // New returns a handler that takes its view of routes and targets from the catalogue.
-func New(catalogue Registry, router *Router, pool *connpool.Pool, crashes *crashwatch.Watch, path *reachwatch.Watch, helpers Helpers, recorder Recorder) *Handler {
-	return &Handler{catalogue: catalogue, router: router, pool: pool, crashes: crashes, path: path, helpers: helpers, recorder: recorder}
+func New(catalogue Registry, router *Router, pool *connpool.Pool, crashes *crashwatch.Watch, path *reachwatch.Watch, helpers Helpers, recorder Recorder, options ...Option) *Handler {
+	handler := &Handler{catalogue: catalogue, router: router, pool: pool, crashes: crashes, path: path, helpers: helpers, recorder: recorder,
+		admission: silentAdmission()}
+	for _, option := range options {
+		option(handler)
+	}
+	return handler
 }
 
 // Open lets the handler serve requests. Before, it refuses them as an instance that is starting.
@@ -235,7 +241,7 @@
 		return http.StatusRequestEntityTooLarge
 	case result.BadRequest:
 		return http.StatusBadRequest
-	case result.NotReady, result.NoTarget, result.Quarantined:
+	case result.NotReady, result.NoTarget, result.Quarantined, result.Overloaded:
 		return http.StatusServiceUnavailable
 	case result.DeadlineExceeded:
 		return http.StatusGatewayTimeout
--- a/shallotreel/ingress/handover.go
+++ b/shallotreel/ingress/handover.go
@@ -193,6 +193,9 @@
 	}
 	run.handler.helpersVersion.raise(time.Now(), outcome.Reply.Version)
 	finish := finishOf(outcome.Reply)
+	if outcome.Reply.Overloaded {
+		finish.Code = result.Overloaded
+	}
 	if len(spent) > 0 && statusOf(finish.Code) == http.StatusServiceUnavailable {
 		finish.Code = result.Broken // the helper has sent nothing, but this instance may have
 	}
@@ -217,7 +220,13 @@
 // replyOf returns the reply of this instance as a helper.
 func (run *run) replyOf(finish query.Finish) relay.Reply {
 	reply := relay.Reply{Code: finish.Code, Reason: finish.Reason, RetryAfter: finish.RetryAfter, Signatures: finish.Signatures,
-		Missing: finish.Missing, Body: finish.Body, Version: run.record.Version, PathLost: run.pathLost, Spent: run.machine.Spent()}
+		Missing: finish.Missing, Body: finish.Body, Version: run.record.Version, PathLost: run.pathLost, Spent: run.plan.Spent}
+	if run.machine != nil {
+		reply.Spent = run.machine.Spent()
+	}
+	if finish.Code == result.Overloaded {
+		reply.Code, reply.Overloaded = result.NoTarget, true
+	}
 	if finish.Answer != nil {
 		reply.Status, reply.Header, reply.Body = finish.Answer.Status, finish.Answer.Header, finish.Answer.Body
 	}
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -46,19 +46,23 @@
 	wave           uint64         // identifies the first attempts; those of later generations follow
 	isRelayed      bool           // whether another instance has handed the request over
 	pathLost       bool           // whether a relayed request ended because this instance lost its path
+	ticket         *ticket        // nil before the request is admitted
 }
 
 const reasonDisconnected = "the caller disconnected"
 
 // decisions joins what the machine of a request asks for.
 type decisions struct {
-	*Router
+	*admittedRouter
 	*crashwatch.Watch
 }
 
 // run serves the request until the machine ends it or the caller disconnects.
 func (run *run) run(ctx context.Context) query.Finish {
-	run.machine = query.New(run.plan, decisions{run.handler.router, run.handler.crashes}, run.handler.router.NextAttemptID)
+	if refusal := run.admit(ctx); refusal != nil {
+		return *refusal
+	}
+	run.machine = query.New(run.plan, decisions{&admittedRouter{run.handler.router, run.ticket}, run.handler.crashes}, run.handler.router.NextAttemptID)
 	run.wave = rand.Uint64()
 	run.answers = make(chan *query.Answer, answerBufferPerService*(len(run.plan.Services)+1))
 	run.attemptIndexes = map[uint64]int{}
@@ -82,6 +86,7 @@
 		run.handler.crashes.Completed(time.Now(), run.plan.Fingerprint)
 	}
 	run.record.Suspect = run.machine.Suspect()
+	run.leave(finish)
 	run.cancelOpenCalls(finish.Code == result.Canceled)
 	return *finish
 }
@@ -174,6 +179,7 @@
 	now := time.Now()
 	run.handler.path.Ended(now, send.AttemptID, send.Pick.Target.Address, ended)
 	run.handler.router.recordEnd(now, send.Pick.Target, send.AttemptID, outcome, report)
+	run.ticket.attemptEnded(now, outcome, report)
 	if report.Leaving {
 		run.handler.catalogue.RecordLeaving(send.Pick.Target)
 	}
--- a/shallotreel/relay/messages.go
+++ b/shallotreel/relay/messages.go
@@ -32,6 +32,7 @@
 	Refusal    string // why the helper did nothing at all; empty if it served the request, with success or not
 	PathLost   bool   // whether the helper lost its own path meanwhile, so that another may go on with the attempts left
 	Code       result.Code
+	Overloaded bool // whether the helper refused the request because of overload; Code is then one that earlier versions know
 	Reason     string
 	RetryAfter time.Duration
 	Status     int // of the target's response, 0 without one to pass on
