Status: evacuations and admission of a running instance

Cause: the status had empty lists until the catalogue knew evacuations and the ingress admitted requests.

Change: the status takes evacuations from the catalogue's view, with the attempts in flight in each of these data centres, and admission from ingress.Handler.Load; evidence that does not show congestion is left out. An evacuation that a restored store lacks states until when it is retained. Cold targets are still empty.

Run: go test ./reelctl/..., go test -run 'TestStatus|TestEvidenceOfGroup' ./shallotreel/front, go vet: pass.

--- a/reel/operator/front.go
+++ b/reel/operator/front.go
@@ -22,11 +22,13 @@
 }
 
 // Evacuation is a data centre whose targets get no new attempts. InFlight is the number of attempts that were sent there
-// before and have not ended.
+// before and have not ended. RetainedUntil is when the evacuation ends although nobody ended it, zero unless the store was
+// restored and lacks it.
 type Evacuation struct {
-	DataCentre string    `json:"data_centre"`
-	Since      time.Time `json:"since"`
-	InFlight   int       `json:"in_flight"`
+	DataCentre    string    `json:"data_centre"`
+	Since         time.Time `json:"since"`
+	RetainedUntil time.Time `json:"retained_until,omitzero"`
+	InFlight      int       `json:"in_flight"`
 }
 
 // ColdTarget is a target that the instance treats as cold. Rate is the number of requests per second that the target
@@ -42,8 +44,8 @@
 	Evidence   string    `json:"evidence"` // why the target is treated as cold
 }
 
-// Group is the admission of the requests that go to the same set of services. Evidence is the newest evidence of
-// congestion.
+// Group is the admission of the requests that go to the same set of services. Evidence is the newest evidence if it shows
+// congestion, and empty otherwise.
 type Group struct {
 	Name        string            `json:"name"`
 	Limit       int               `json:"limit"` // of requests in flight, 0 while the group is not limited
--- a/reelctl/traffic/evacuations.go
+++ b/reelctl/traffic/evacuations.go
@@ -19,13 +19,15 @@
 }
 
 // Evacuation is a data centre that at least one instance treats as evacuated. Since is the earliest time that an instance
-// states, by its own clock. InFlight counts the attempts in flight there from the instances where the evacuation is in force.
+// states, by its own clock. RetainedUntil is set if the store was restored and lacks the evacuation, see
+// operator.Evacuation. InFlight counts the attempts in flight there from the instances where the evacuation is in force.
 type Evacuation struct {
-	DataCentre   string    `json:"data_centre"`
-	Since        time.Time `json:"since"`
-	InForce      int       `json:"in_force"`        // number of instances
-	NotInForceAt []string  `json:"not_in_force_at"` // names of the other instances that answered
-	InFlight     int       `json:"in_flight"`
+	DataCentre    string    `json:"data_centre"`
+	Since         time.Time `json:"since"`
+	RetainedUntil time.Time `json:"retained_until,omitzero"`
+	InForce       int       `json:"in_force"`        // number of instances
+	NotInForceAt  []string  `json:"not_in_force_at"` // names of the other instances that answered
+	InFlight      int       `json:"in_flight"`
 }
 
 // ColdTarget is a target that at least one instance treats as cold. Rate is the number of requests per second that it
@@ -65,6 +67,9 @@
 			if stated.Since.Before(evacuation.Since) {
 				evacuation.Since = stated.Since
 			}
+			if stated.RetainedUntil.After(evacuation.RetainedUntil) {
+				evacuation.RetainedUntil = stated.RetainedUntil
+			}
 			evacuation.InForce++
 			evacuation.InFlight += stated.InFlight
 		}
--- a/reelctl/traffic/load.go
+++ b/reelctl/traffic/load.go
@@ -23,7 +23,7 @@
 }
 
 // Group is the admission of the requests that go to the same set of services. Limit is the sum over the instances that
-// limit the group, of which there are Limiting. Evidence is the newest evidence of congestion of any instance.
+// limit the group, of which there are Limiting. Evidence is the newest evidence of congestion at any instance.
 type Group struct {
 	Name        string            `json:"name"`
 	Limit       int               `json:"limit"`
@@ -181,7 +181,7 @@
 	case group.Evidence == "" && group.Limiting == 0:
 		return "The refusals have ended: no instance that answered limits the group."
 	case group.Evidence == "":
-		return "The limits rise again by themselves, since no instance that answered has evidence of congestion."
+		return "The refusals end by themselves: the newest evidence of no instance that answered shows congestion, so the limits rise."
 	default:
 		return "The refusals end with the evidence: with fewer requests of rank " + strconv.Itoa(most.Rank) +
 			", which has the most, or with more capacity at the targets of the group."
--- a/reelctl/traffic/print.go
+++ b/reelctl/traffic/print.go
@@ -23,10 +23,11 @@
 // Print writes the report as tables.
 func (report Evacuations) Print(writer io.Writer) error {
 	table := table.New(writer)
-	fmt.Fprintln(table, "EVACUATED\tSINCE\tIN FORCE AT\tIN FLIGHT\tNOT IN FORCE AT")
+	fmt.Fprintln(table, "EVACUATED\tSINCE\tRETAINED UNTIL\tIN FORCE AT\tIN FLIGHT\tNOT IN FORCE AT")
 	for _, evacuation := range report.Evacuations {
-		fmt.Fprintf(table, "%s\t%s\t%d of %d\t%d\t%s\n", evacuation.DataCentre, formatTime(evacuation.Since), evacuation.InForce,
-			report.Instances, evacuation.InFlight, joinNames(evacuation.NotInForceAt))
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d of %d\t%d\t%s\n", evacuation.DataCentre, formatTime(evacuation.Since),
+			formatTime(evacuation.RetainedUntil), evacuation.InForce, report.Instances, evacuation.InFlight,
+			joinNames(evacuation.NotInForceAt))
 	}
 	fmt.Fprintln(table, "\nCOLD TARGET\tSERVICE\tDATA CENTRE\tCOLD UNTIL\tRATE\tPARTS\tINSTANCES\tEVIDENCE")
 	for _, target := range report.ColdTargets {
--- a/reelctl/traffic_test.go
+++ b/reelctl/traffic_test.go
@@ -49,14 +49,14 @@
 			Evacuations: []operator.Evacuation{{DataCentre: "lideta-hall", Since: start, InFlight: 4}},
 			ColdTargets: []operator.ColdTarget{{Target: "i-1", Service: "s", DataCentre: "piassa-hall", ColdUntil: start.Add(time.Minute),
 				Rate: 10, Part: 2.5, Evidence: "its response says so"}},
-			Admission: []operator.Group{fakeGroup(second, 40, "targets report queues", 300*time.Millisecond)}}
+			Admission: []operator.Group{fakeGroup(second, 40, "overloaded", 300*time.Millisecond)}}
 	}
 	fronts[1].status = func(second int64) operator.FrontStatus {
 		return operator.FrontStatus{Instance: "piassa-1", DataCentre: "piassa-hall", Time: start.Add(time.Duration(second) * time.Second), Version: 3,
 			Members: members,
 			ColdTargets: []operator.ColdTarget{{Target: "i-1", Service: "s", DataCentre: "piassa-hall", ColdUntil: start.Add(time.Second),
 				Rate: 10, Part: 5, Evidence: "its data centre has returned"}},
-			Admission: []operator.Group{fakeGroup(second, 0, "answers are late", time.Second)}}
+			Admission: []operator.Group{fakeGroup(second, 0, "congested", time.Second)}}
 	}
 	for _, server := range servers {
 		server.Start()
--- a/shallotreel/front/status.go
+++ b/shallotreel/front/status.go
@@ -2,14 +2,18 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"shallotreel.example/reel/admit"
+	"shallotreel.example/reel/document"
 	"shallotreel.example/reel/member"
 	"shallotreel.example/reel/operator"
+	"shallotreel.example/shallotreel/ingress"
 )
 
 // statusSource provides what an instance knows of the fleet and what it decides about targets and requests.
@@ -17,7 +21,7 @@
 	Version() uint64 // of the configuration in force
 	Evacuations() []operator.Evacuation
 	ColdTargets(now time.Time) []operator.ColdTarget
-	Admission(now time.Time) []operator.Group
+	Admission() []operator.Group
 	Members() []member.Member
 }
 
@@ -44,7 +48,7 @@
 		Instance: handler.self.Name, DataCentre: handler.self.DataCentre, Time: now.UTC(), Version: handler.source.Version(),
 		Evacuations: append([]operator.Evacuation{}, handler.source.Evacuations()...),
 		ColdTargets: append([]operator.ColdTarget{}, handler.source.ColdTargets(now)...),
-		Admission:   append([]operator.Group{}, handler.source.Admission(now)...),
+		Admission:   append([]operator.Group{}, handler.source.Admission()...),
 	}
 	for _, member := range handler.source.Members() {
 		status.Members = append(status.Members, operator.FrontMember{Name: member.Name, DataCentre: member.DataCentre,
@@ -83,14 +87,51 @@
 	return 0
 }
 
-// Evacuations returns the evacuated data centres.
-func (components components) Evacuations() []operator.Evacuation { return nil }
+// Evacuations returns the evacuated data centres, with the attempts that are still in flight there.
+func (components components) Evacuations() []operator.Evacuation {
+	var evacuations []operator.Evacuation
+	for _, evacuation := range components.View().Evacuations() {
+		evacuations = append(evacuations, operator.Evacuation{DataCentre: evacuation.DataCentre, Since: evacuation.Since.UTC(),
+			RetainedUntil: evacuation.RetainedUntil, InFlight: components.router.InFlight(evacuation.DataCentre)})
+	}
+	return evacuations
+}
 
 // ColdTargets returns the targets that are treated as cold.
 func (components components) ColdTargets(time.Time) []operator.ColdTarget { return nil }
 
 // Admission returns the admission of each group of requests.
-func (components components) Admission(time.Time) []operator.Group { return nil }
+func (components components) Admission() []operator.Group {
+	var groups []operator.Group
+	for _, load := range components.handler.Load() {
+		groups = append(groups, groupOf(load))
+	}
+	return groups
+}
+
+// groupOf converts the load of a group. Evidence that does not show congestion is left out.
+func groupOf(load ingress.GroupLoad) operator.Group {
+	group := operator.Group{Name: load.Service, Limit: load.Limit}
+	if load.Services > 1 {
+		group.Name = fmt.Sprintf("%s and %d others", load.Service, load.Services-1)
+	}
+	if load.Evidence == admit.Congested.String() || load.Evidence == admit.Overloaded.String() {
+		group.Evidence, group.EvidenceAge = load.Evidence, document.Duration(load.EvidenceAge)
+	}
+	for _, rank := range load.Ranks {
+		group.Ranks = append(group.Ranks, rankOf(rank))
+	}
+	return group
+}
+
+func rankOf(load ingress.RankLoad) operator.Rank {
+	rank := operator.Rank{Rank: load.Rank, Admitted: uint64(load.Admitted), Refused: map[string]uint64{},
+		InFlight: load.InFlight, Waiting: load.Waiting}
+	for reason, count := range load.Refused {
+		rank.Refused[reason] = uint64(count)
+	}
+	return rank
+}
 
 // Members returns the known instances, including this one.
 func (components components) Members() []member.Member { return components.roster.Members() }
--- a/shallotreel/front/status_test.go
+++ b/shallotreel/front/status_test.go
@@ -17,6 +17,7 @@
 	"shallotreel.example/reel/document"
 	"shallotreel.example/reel/member"
 	"shallotreel.example/reel/operator"
+	"shallotreel.example/shallotreel/ingress"
 )
 
 // fixedSource is a statusSource whose parts never change.
@@ -32,8 +33,8 @@
 func (fixedSource fixedSource) ColdTargets(time.Time) []operator.ColdTarget {
 	return fixedSource.coldTargets
 }
-func (fixedSource fixedSource) Admission(time.Time) []operator.Group { return fixedSource.admission }
-func (fixedSource fixedSource) Members() []member.Member             { return fixedSource.members }
+func (fixedSource fixedSource) Admission() []operator.Group { return fixedSource.admission }
+func (fixedSource fixedSource) Members() []member.Member    { return fixedSource.members }
 
 // TestStatus guards against a change of the names and formats that operators' tools rely on, and against null in place of
 // an empty list.
@@ -56,7 +57,7 @@
 				{Target: "i-1", Service: "s", DataCentre: "a", ColdUntil: now.Add(time.Minute), Rate: 20, Part: 2.5, Evidence: "its response says so"},
 				{Target: "i-2", Service: "s", DataCentre: "a", Evidence: "its data centre has returned"},
 			},
-			admission: []operator.Group{{Name: "r", Limit: 40, Evidence: "targets report queues", EvidenceAge: document.Duration(300 * time.Millisecond),
+			admission: []operator.Group{{Name: "r", Limit: 40, Evidence: "overloaded", EvidenceAge: document.Duration(300 * time.Millisecond),
 				Ranks: []operator.Rank{{Rank: 1, Admitted: 120, Refused: map[string]uint64{"rank": 90}, InFlight: 6, Waiting: 2}}}},
 		}},
 	} {
@@ -70,6 +71,16 @@
 	}
 }
 
+// TestEvidenceOfGroup guards against a status that gives evidence without congestion as the reason for a limit.
+func TestEvidenceOfGroup(t *testing.T) {
+	for evidence, want := range map[string]string{"": "", "uncongested": "", "neutral": "", "congested": "congested", "overloaded": "overloaded"} {
+		group := groupOf(ingress.GroupLoad{Service: "menus", Services: 1, Evidence: evidence, EvidenceAge: time.Second})
+		if group.Evidence != want || group.Name != "menus" {
+			t.Errorf("evidence %q of the handler is stated as %q for %s, want %q", evidence, group.Evidence, group.Name, want)
+		}
+	}
+}
+
 // compareGolden compares the JSON with the file in testdata, which it writes first if UPDATE_GOLDEN is set.
 func compareGolden(t *testing.T, name string, content []byte) {
 	t.Helper()
