--- a/reel/operator/front.go
+++ b/reel/operator/front.go
@@ -35,13 +35,14 @@
 // tolerates from all instances together, and Part what this instance may send of it; both are 0 if the configuration sets
 // no rate.
 type ColdTarget struct {
-	Target     string    `json:"target"`
-	Service    string    `json:"service"`
-	DataCentre string    `json:"data_centre"`
-	ColdUntil  time.Time `json:"cold_until,omitzero"` // zero if the end of the cold period is not known
-	Rate       float64   `json:"rate"`
-	Part       float64   `json:"part"`
-	Evidence   string    `json:"evidence"` // why the target is treated as cold
+	Target      string            `json:"target"`
+	Service     string            `json:"service"`
+	DataCentre  string            `json:"data_centre"`
+	ColdUntil   time.Time         `json:"cold_until,omitzero"` // zero if the end of the cold period is not known
+	Rate        float64           `json:"rate"`
+	Part        float64           `json:"part"`
+	Evidence    string            `json:"evidence"` // why the target is treated as cold
+	EvidenceAge document.Duration `json:"evidence_age"`
 }
 
 // Group is the admission of the requests that go to the same set of services. Evidence is the newest evidence if it shows
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -142,7 +142,7 @@
 	var err error
 	front.roster, err = roster.Listen(front.ctx, front.system, roster.Config{Self: front.self, Seeds: config.Seeds,
 		Log: front.log, Random: random(), OnChange: front.setMembers, Tracker: tracker, OnMark: front.logMark,
-		OnMarksKnown: front.markMarksKnown})
+		OnMarksKnown: front.markMarksKnown, OnComplete: func() { front.router.MembersComplete(time.Now()) }})
 	if err != nil {
 		return err
 	}
@@ -237,6 +237,8 @@
 	case choice.LimitEnded:
 		front.scope.Counter("limits_ended").Inc(1)
 		fields["limit_per_second"] = float64(change.Limit)
+	case choice.Cold, choice.Warm:
+		addColdFields(fields, change)
 	}
 	if !front.healthLines.Allow(time.Now()) {
 		front.scope.Counter("health_lines_dropped").Inc(1)
@@ -305,6 +307,7 @@
 	front.scope.Gauge("members").Update(float64(len(front.roster.Members())))
 	front.scope.Gauge("evacuations").Update(float64(len(front.View().Evacuations())))
 	front.scope.Gauge("running").Update(float64(front.handler.Running()))
+	front.updateColdGauges(time.Now())
 }
 
 // Reload applies the changed settings that can change while the process runs: seeds,
--- a/shallotreel/front/status.go
+++ b/shallotreel/front/status.go
@@ -98,7 +98,15 @@
 }
 
 // ColdTargets returns the targets that are treated as cold.
-func (components components) ColdTargets(time.Time) []operator.ColdTarget { return nil }
+func (components components) ColdTargets(now time.Time) []operator.ColdTarget {
+	var targets []operator.ColdTarget
+	for _, target := range components.router.ColdTargets(now) {
+		targets = append(targets, operator.ColdTarget{Target: target.ID, Service: target.Service, DataCentre: target.DataCentre,
+			ColdUntil: target.Until.UTC(), Rate: target.Rate, Part: target.Part, Evidence: string(target.Evidence),
+			EvidenceAge: document.Duration(target.EvidenceAge)})
+	}
+	return targets
+}
 
 // Admission returns the admission of each group of requests.
 func (components components) Admission() []operator.Group {
--- a/shallotreel/front/status_test.go
+++ b/shallotreel/front/status_test.go
@@ -54,8 +54,8 @@
 			members:     members,
 			evacuations: []operator.Evacuation{{DataCentre: "b", Since: now.Add(-time.Minute), InFlight: 3}},
 			coldTargets: []operator.ColdTarget{
-				{Target: "i-1", Service: "s", DataCentre: "a", ColdUntil: now.Add(time.Minute), Rate: 20, Part: 2.5, Evidence: "its response says so"},
-				{Target: "i-2", Service: "s", DataCentre: "a", Evidence: "its data centre has returned"},
+				{Target: "i-1", Service: "s", DataCentre: "a", ColdUntil: now.Add(time.Minute), Rate: 20, Part: 2.5, Evidence: "answer", EvidenceAge: document.Duration(time.Second)},
+				{Target: "i-2", Service: "s", DataCentre: "a", Evidence: "its data centre has returned to service"},
 			},
 			admission: []operator.Group{{Name: "r", Limit: 40, Evidence: "overloaded", EvidenceAge: document.Duration(300 * time.Millisecond),
 				Ranks: []operator.Rank{{Rank: 1, Admitted: 120, Refused: map[string]uint64{"rank": 90}, InFlight: 6, Waiting: 2}}}},
