--- a/reel/operator/front.go
+++ b/reel/operator/front.go
@@ -8,6 +8,17 @@
 	"shallotreel.example/reel/member"
 )
 
+// OmitParameter is the query parameter of StatusPath with which a reader of many instances leaves out long lists of a
+// FrontStatus. Its value is a comma-separated list of the constants below.
+const OmitParameter = "omit"
+
+// Lists that OmitParameter may leave out.
+const (
+	ListColdTargets = "cold_targets"
+	ListAdmission   = "admission"
+	ListMembers     = "members"
+)
+
 // FrontStatus is the state of one instance that proxies requests to targets, and its view of the fleet. All times are of
 // the clock of the instance. Version is that of the configuration in force, 0 if none is.
 type FrontStatus struct {
--- a/reelctl/traffic.go
+++ b/reelctl/traffic.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	survey, err := traffic.Take(context.Background(), address)
+	survey, err := traffic.ForEvacuations(context.Background(), address)
 	if err != nil {
 		return err
 	}
@@ -59,11 +59,11 @@
 	if command.Interval < 0 {
 		return traffic.Load{}, errors.Errorf("field interval: value %v: give a duration of 0 or more", command.Interval)
 	}
-	before, err := traffic.Take(ctx, address)
+	before, err := traffic.ForLoad(ctx, address)
 	if err != nil || command.Interval == 0 {
 		return traffic.LoadOf(before), err
 	}
 	time.Sleep(command.Interval)
-	after, err := traffic.Take(ctx, address)
+	after, err := traffic.ForLoad(ctx, address)
 	return traffic.LoadBetween(before, after), err
 }
--- a/reelctl/traffic/traffic.go
+++ b/reelctl/traffic/traffic.go
@@ -17,9 +17,20 @@
 	Unreachable []client.Unreachable
 }
 
-// Take requests the member list from the instance with the metrics address first, and then the status from each member
-// concurrently. It returns an error only if the first instance does not answer.
-func Take(ctx context.Context, first netip.AddrPort) (Survey, error) {
+// ForEvacuations requests what EvacuationsOf summarizes from all instances that the one with the metrics address first
+// knows. It returns an error only if that one does not answer.
+func ForEvacuations(ctx context.Context, first netip.AddrPort) (Survey, error) {
+	return take(ctx, first, operator.ListAdmission)
+}
+
+// ForLoad requests what LoadOf and LoadBetween summarize, as ForEvacuations does.
+func ForLoad(ctx context.Context, first netip.AddrPort) (Survey, error) {
+	return take(ctx, first, operator.ListColdTargets)
+}
+
+// take requests the member list from the first instance and then the status without the omitted list from each member
+// concurrently.
+func take(ctx context.Context, first netip.AddrPort, omitted string) (Survey, error) {
 	var initial operator.FrontStatus
 	if err := client.Call(ctx, http.MethodGet, first, operator.StatusPath, &initial); err != nil {
 		return Survey{}, errors.Wrapf(err, "field instance: value %v: give the metrics address of a running instance", first)
@@ -29,6 +40,7 @@
 		members = append(members, client.Member{Instance: member.Name, Address: member.Metrics, State: member.State})
 	}
 	var survey Survey
-	survey.Statuses, survey.Unreachable = client.GetAll[operator.FrontStatus](ctx, members, operator.StatusPath)
+	path := operator.StatusPath + "?" + operator.OmitParameter + "=" + operator.ListMembers + "," + omitted
+	survey.Statuses, survey.Unreachable = client.GetAll[operator.FrontStatus](ctx, members, path)
 	return survey, nil
 }
--- a/shallotreel/front/status.go
+++ b/shallotreel/front/status.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,28 +37,43 @@
 }
 
 // ServeHTTP answers with an operator.FrontStatus.
-func (handler *statusHandler) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
+func (handler *statusHandler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	writer.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(writer).Encode(handler.status(handler.now())); err != nil {
+	omitted := strings.Split(request.URL.Query().Get(operator.OmitParameter), ",")
+	if err := json.NewEncoder(writer).Encode(handler.status(handler.now(), omitted)); err != nil {
 		handler.log.WithError(err).Debug("cannot send the status")
 	}
 }
 
-// status returns the state of the instance. Lists without an element are encoded as such, not as null.
-func (handler *statusHandler) status(now time.Time) operator.FrontStatus {
+// status returns the state of the instance without the omitted lists. Lists without an element are encoded as such, not as
+// null.
+func (handler *statusHandler) status(now time.Time, omitted []string) operator.FrontStatus {
 	status := operator.FrontStatus{
 		Instance: handler.self.Name, DataCentre: handler.self.DataCentre, Time: now.UTC(), Version: handler.source.Version(),
 		Evacuations: append([]operator.Evacuation{}, handler.source.Evacuations()...),
-		ColdTargets: append([]operator.ColdTarget{}, handler.source.ColdTargets(now)...),
-		Admission:   append([]operator.Group{}, handler.source.Admission()...),
+		ColdTargets: []operator.ColdTarget{}, Admission: []operator.Group{}, Members: []operator.FrontMember{},
 	}
-	for _, member := range handler.source.Members() {
-		status.Members = append(status.Members, operator.FrontMember{Name: member.Name, DataCentre: member.DataCentre,
-			State: member.State, Metrics: handler.metricsAddress(member)})
+	if !slices.Contains(omitted, operator.ListColdTargets) {
+		status.ColdTargets = append(status.ColdTargets, handler.source.ColdTargets(now)...)
+	}
+	if !slices.Contains(omitted, operator.ListAdmission) {
+		status.Admission = append(status.Admission, handler.source.Admission()...)
+	}
+	if !slices.Contains(omitted, operator.ListMembers) {
+		status.Members = append(status.Members, handler.members()...)
 	}
 	return status
 }
 
+func (handler *statusHandler) members() []operator.FrontMember {
+	var members []operator.FrontMember
+	for _, member := range handler.source.Members() {
+		members = append(members, operator.FrontMember{Name: member.Name, DataCentre: member.DataCentre, State: member.State,
+			Metrics: handler.metricsAddress(member)})
+	}
+	return members
+}
+
 // metricsAddress returns the metrics address of the member. Members do not announce it, since all instances of a deployment
 // use the same port.
 func (handler *statusHandler) metricsAddress(member member.Member) netip.AddrPort {
--- a/shallotreel/front/status_test.go
+++ b/shallotreel/front/status_test.go
@@ -47,10 +47,13 @@
 	members := []member.Member{self, instance("two", "b", "10.0.0.2:80", member.Suspect)}
 	for _, test := range []struct {
 		golden string
+		query  string
 		source fixedSource
 	}{
-		{"status-at-rest.json", fixedSource{members: members[:1]}},
-		{"status.json", fixedSource{
+		{"status-at-rest.json", "", fixedSource{members: members[:1]}},
+		{"status-omitted.json", "?omit=cold_targets,admission,members", fixedSource{members: members,
+			coldTargets: []operator.ColdTarget{{Target: "i-1"}}, admission: []operator.Group{{Name: "r"}}}},
+		{"status.json", "", fixedSource{
 			members:     members,
 			evacuations: []operator.Evacuation{{DataCentre: "b", Since: now.Add(-time.Minute), InFlight: 3}},
 			coldTargets: []operator.ColdTarget{
@@ -65,7 +68,7 @@
 			response := httptest.NewRecorder()
 			handler := &statusHandler{self: self, metrics: netip.MustParseAddrPort("10.0.0.1:9464"), source: test.source,
 				now: func() time.Time { return now }, log: logrus.New()}
-			handler.ServeHTTP(response, httptest.NewRequest(http.MethodGet, operator.StatusPath, nil))
+			handler.ServeHTTP(response, httptest.NewRequest(http.MethodGet, operator.StatusPath+test.query, nil))
 			compareGolden(t, test.golden, response.Body.Bytes())
 		})
 	}
