--- a/shallotreel/front/status_test.go
+++ b/shallotreel/front/status_test.go
@@ -4,20 +4,22 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"os"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"shallotreel.example/platform/storetest"
 	"shallotreel.example/reel/document"
 	"shallotreel.example/reel/member"
 	"shallotreel.example/reel/operator"
 	"shallotreel.example/shallotreel/ingress"
+	"shallotreel.example/shallotreel/settings"
 )
 
 // fixedSource is a statusSource whose parts never change.
@@ -106,10 +108,15 @@
 	}
 }
 
-// TestStatusBesideMetrics guards against a status that hides the metrics, or that a running instance does not serve.
+// TestStatusBesideMetrics guards against a status that hides the metrics, or that a running instance does not serve with what it has
+// read from the store.
 func TestStatusBesideMetrics(t *testing.T) {
-	var runs atomic.Int64
-	front, config := startFront(t, &runs)
+	store := storetest.Start(t)
+	store.Configure(t, 1)
+	store.Register(t, storetest.Target{ID: "one", DataCentre: "b", Seq: 1})
+	store.Evacuate("b", nil)
+	front, config := startOnFreePorts(t, settings.Front{Name: "front", DataCentre: "a", StoreAddress: store.Address(),
+		Grace: document.Duration(waitTimeout), MaxAddressTTL: document.Duration(time.Second), LogLevel: "info"}, io.Discard)
 	defer front.close()
 	waitUntil(t, "the gauges are served", func() bool { return gauge(config.MetricsAddress, "shallotreel_members") == 1 })
 	response, err := http.Get(fmt.Sprintf("http://%s%s", config.MetricsAddress, operator.StatusPath))
@@ -121,6 +128,9 @@
 	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
 		t.Fatal(err)
 	}
+	if len(status.Evacuations) != 1 || status.Evacuations[0].DataCentre != "b" || status.Evacuations[0].Since.IsZero() {
+		t.Errorf("evacuations are %+v, want one of data centre b", status.Evacuations)
+	}
 	want := operator.FrontMember{Name: "front", DataCentre: "a", State: member.Alive, Metrics: config.MetricsAddress}
 	if status.Instance != "front" || status.Version != 1 || len(status.Members) != 1 || status.Members[0] != want {
 		t.Errorf("status is %+v, want version 1 and only member %+v", status, want)
