--- a/shallotreel/ingress/router.go
+++ b/shallotreel/ingress/router.go
@@ -37,6 +37,8 @@
 	idle           bool   // whether this instance is outside the working set
 	evacuations    uint64 // serial of the evacuations at the last choice
 	senders        *warmup.Senders
+	members        []warmup.Member // as last passed to SetMembers
+	lost           []warmup.Member // as last passed to SetLost
 }
 
 // NewRouter returns a router without traffic statistics for the instance home. It calls
@@ -76,7 +78,8 @@
 	working := workingset.ExpectedSize(members)
 	router.slack.SetInstances(working, len(members)-working)
 	router.selector.SetFleet(fleet)
-	router.senders.Update(time.Now(), sendersOf(members, sets))
+	router.members = sendersOf(members, sets)
+	router.updateSenders(time.Now())
 }
 
 // Choose picks a target of the service that has free capacity and was not tried; it reports false if there is none.
@@ -84,8 +87,8 @@
 	view := router.catalogue.View()
 	router.mutex.Lock()
 	defer router.unlockAndNotify()
-	router.noteEvacuations(view)
 	router.selector.SetReturns(view)
+	router.noteEvacuations(view)
 	hasCapacity := func(target catalogue.Target) bool { return router.pool.CanStart(now, target.Address) }
 	return router.selector.Choose(now, route, view.Targets(service), view.Configuration.Services[service], tried, hasCapacity)
 }
