--- a/reel/admit/adaptive.go
+++ b/reel/admit/adaptive.go
@@ -5,20 +5,29 @@
 	"time"
 )
 
+// noLimit is the number of concurrent requests that a machine without a limit allows.
+const noLimit = 1 << 30
+
 const (
 	minPeriod         = 20 * time.Millisecond  // least reaction time
 	maxPeriod         = 250 * time.Millisecond // greatest reaction time
 	minEvidence       = 3                      // overloaded requests, or refused attempts, that start a limit
 	overloadedShare   = 0.2                    // share of the ended requests that is overloaded from which a limit starts or shrinks
 	turnedAwayShare   = 0.5                    // share of the attempts that found no room from which a limit starts
-	pressureSetpoint  = 0.5                    // pressure at which the limit is constant
+	pressureSetpoint  = 0.6                    // pressure at which the limit is constant
+	recoverySetpoint  = 0.25                   // pressure up to which the limit grows fast or is removed
 	maxDecrease       = 0.6                    // greatest decrease within one reaction time, as a factor
-	increaseStep      = 0.5                    // requests by which the limit grows within one reaction time
-	increaseFactor    = 1.03                   // least growth in the same time while the limit is large
+	increaseStep      = 0.4                    // growth of the limit within one reaction time, as a multiple of its square root
+	idleFactor        = 0.5                   // greatest growth in the same time while requests are refused although the targets have no queues
 	recoveryFactor    = 1.5                    // growth in the same time while nothing is refused
 	minLimit          = 1.0                    // requests; keeps probing
-	minRemovalTime    = 300 * time.Millisecond // without a refusal, after which the limit is removed
+	minRemovalTime    = 250 * time.Millisecond // without a refusal, after which the limit is removed
+	minRecoveryTime   = 60 * time.Millisecond  // without a refusal, after which the limit grows fast
+	idleTime          = time.Second            // without evidence, after which the limit is removed
 	limitMemory       = 10 * time.Second       // for which a removed limit is remembered
+	minAttempts       = 8                      // that a reaction time has at least, unless it is the greatest one
+	rateTime          = 500 * time.Millisecond // averages the time in flight from which the admitted rate is computed
+	rateSlack         = 1.1                    // by which that rate exceeds the limit, so that some requests wait when one ends
 	initialLimitShare = 0.8                    // of what is in flight when a limit starts
 )
 
@@ -34,6 +43,8 @@
 	signal      Signal // newest evidence
 	signalAt    time.Time
 	refusedAt   time.Time
+	averageRate float64       // requests a second that the limit allows, over rateTime; 0 without a limit
+	averageTime time.Duration // the same over rateTime
 	heldTime    time.Duration // EWMA of the time for which requests are in flight
 }
 
@@ -50,7 +61,7 @@
 
 func (adaptive *adaptive) limit() int {
 	if adaptive.value == 0 {
-		return math.MaxInt
+		return noLimit
 	}
 	return max(1, int(math.Round(adaptive.value)))
 }
@@ -67,6 +78,9 @@
 }
 
 func (adaptive *adaptive) ended(now time.Time, running int, signal Signal) {
+	if signal == Neutral && adaptive.counts.showPressure() {
+		signal = Overloaded // its attempts may wait in the queues that others report
+	}
 	if signal == Neutral {
 		return
 	}
@@ -93,15 +107,41 @@
 		return
 	}
 	period := min(max(adaptive.heldTime, minPeriod), maxPeriod)
-	if now.Sub(adaptive.periodStart) < period {
+	elapsed := now.Sub(adaptive.periodStart)
+	if elapsed < period || counts.attempts < minAttempts && elapsed < maxPeriod {
 		return
 	}
-	if adaptive.value > 0 {
+	switch {
+	case adaptive.value > 0:
 		adaptive.adjust(now)
+	case now.Sub(adaptive.changedAt) < limitMemory && counts.showPressure():
+		adaptive.begin(now, running)
+		return
 	}
 	adaptive.periodStart, adaptive.counts = now, periodCounts{peak: running}
 }
 
+// meanPressure returns the pressure as an average over the attempts.
+func (counts *periodCounts) meanPressure() float64 {
+	return counts.pressure / float64(max(counts.attempts, 1))
+}
+
+// showPressure reports whether the pressure exceeds its setpoint, over sufficient attempts.
+func (counts *periodCounts) showPressure() bool {
+	return counts.attempts >= minAttempts && counts.meanPressure() > pressureSetpoint
+}
+
+// expire removes the limit after a time without traffic, in which it has become outdated.
+func (adaptive *adaptive) expire(now time.Time) {
+	if adaptive.value > 0 && now.Sub(adaptive.periodStart) >= idleTime {
+		adaptive.remove(now)
+	}
+}
+
+func (adaptive *adaptive) remove(now time.Time) {
+	adaptive.remembered, adaptive.value, adaptive.changedAt = adaptive.value, 0, now
+}
+
 // showOverload reports whether the counts suffice to start a limit.
 func (counts *periodCounts) showOverload() bool {
 	return counts.overloaded >= minEvidence && float64(counts.overloaded) >= overloadedShare*float64(counts.ended) ||
@@ -121,10 +161,7 @@
 // adjust changes the limit at the end of a period.
 func (adaptive *adaptive) adjust(now time.Time) {
 	counts := adaptive.counts
-	pressure := 0.0
-	if counts.attempts > 0 {
-		pressure = counts.pressure / float64(counts.attempts)
-	}
+	pressure := counts.meanPressure()
 	isOverloaded := counts.overloaded > 0 && float64(counts.overloaded) >= overloadedShare*float64(counts.ended)
 	switch {
 	case isOverloaded:
@@ -133,21 +170,34 @@
 		excess := (pressure - pressureSetpoint) / (1 - pressureSetpoint)
 		adaptive.value *= 1 - (1-maxDecrease)*excess
 	case counts.ended+counts.attempts == 0:
+	case pressure > recoverySetpoint && counts.refused == 0:
 	case counts.refused == 0 && now.Sub(adaptive.refusedAt) >= minRemovalTime:
-		adaptive.remembered, adaptive.value, adaptive.changedAt = adaptive.value, 0, now
+		adaptive.remove(now)
 		return
-	case counts.refused == 0:
+	case counts.refused == 0 && now.Sub(adaptive.refusedAt) >= minRecoveryTime:
 		adaptive.value *= recoveryFactor
 	default:
-		adaptive.value = max(adaptive.value+increaseStep, adaptive.value*increaseFactor)
+		idle := max(0, 1-pressure/recoverySetpoint)
+		adaptive.value += max(increaseStep*math.Sqrt(adaptive.value), idleFactor*idle*adaptive.value)
 	}
 	adaptive.value = max(adaptive.value, minLimit)
 }
 
-// rate returns the requests a second that the limit allows at the current time in flight.
-func (adaptive *adaptive) rate() float64 {
+// rate returns the requests a second that the limit allows at the average time in flight, which it updates after the time
+// elapsed.
+func (adaptive *adaptive) rate(elapsed time.Duration) float64 {
+	if adaptive.averageTime == 0 {
+		adaptive.averageTime = adaptive.heldTime
+	}
+	adaptive.averageTime += time.Duration(gain(elapsed, rateTime) * float64(adaptive.heldTime-adaptive.averageTime))
 	if adaptive.value == 0 {
+		adaptive.averageRate = 0
 		return math.Inf(1)
 	}
-	return adaptive.value / max(adaptive.heldTime, time.Millisecond).Seconds()
+	current := rateSlack * adaptive.value / max(adaptive.averageTime, time.Millisecond).Seconds()
+	if adaptive.averageRate == 0 {
+		adaptive.averageRate = current
+	}
+	adaptive.averageRate += gain(elapsed, rateTime) * (current - adaptive.averageRate)
+	return adaptive.averageRate
 }
--- a/reel/admit/evidence.go
+++ b/reel/admit/evidence.go
@@ -35,18 +35,21 @@
 	Refused  int           // attempts that targets refused without running them
 	NoRoom   int           // waits for a target with free capacity
 	Queued   int           // answers of targets that reported a queue
+	Missing  int           // services that gave no answer, of a request that failed
+	Loaded   int           // those of them that refused attempts or had no free capacity
 }
 
 // Signal returns the load that the evidence shows. A failure without signs of load is neutral: its targets are down, silent or
 // cut off, and fewer requests do not help.
 func (evidence Evidence) Signal() Signal {
-	loaded := evidence.Refused + evidence.NoRoom + evidence.Queued
-	unserved := evidence.Failed || evidence.Took > evidence.Goal
-	share := float64(loaded) / float64(max(evidence.Attempts, 1))
+	share := float64(evidence.Refused+evidence.NoRoom+evidence.Queued) / float64(max(evidence.Attempts, 1))
+	isLate := evidence.Goal > 0 && evidence.Took > evidence.Goal
 	switch {
-	case unserved && share >= loadedShare:
+	case evidence.Failed && evidence.Loaded > 0 && 2*evidence.Loaded >= evidence.Missing:
+		return Overloaded // for lack of few services, which its other attempts do not show
+	case (evidence.Failed || isLate) && share >= loadedShare:
 		return Overloaded
-	case unserved:
+	case evidence.Failed || isLate:
 		return Neutral
 	case share >= congestedShare:
 		return Congested
--- a/reel/admit/overload.go
+++ b/reel/admit/overload.go
@@ -12,7 +12,7 @@
 	heldTimeGain    = 0.05                   // weight of the newest sample in the EWMA of the time in flight
 	refusingTime    = 500 * time.Millisecond // after a refusal, within which a machine counts as refusing
 	adaptivePerSlot = 1.0                    // requests that may wait per request of the limit
-	overflowSpread  = 1.0                    // standard deviations by which requests within the share of their class may exceed the limit
+	overflowSpread  = 2.0                    // standard deviations by which requests within the share of their class may exceed the limit
 	reasonShare     = "the share of its kind is used up"
 	reasonEarly     = "repeated before the time to retry"
 	reasonUsualTime = "the usual latency exceeds the time left"
@@ -40,18 +40,20 @@
 	if overload == nil {
 		return Decision{}, false
 	}
-	overload.shares.update(now, overload.adaptive.rate())
-	if machine.limit() == math.MaxInt {
-		overload.shares.classOf(now, request.Kind, rankOf(request)).arrivals++
-		return Decision{}, false
+	overload.adaptive.expire(now)
+	overload.shares.update(now, overload.adaptive.rate)
+	class := overload.shares.classOf(now, request.Kind, rankOf(request))
+	earliness, left := isNew, time.Duration(0)
+	if overload.adaptive.value > 0 && class.share < 1 {
+		earliness, left = overload.returns.compare(now, request.Key)
 	}
-	earliness, left := overload.returns.compare(now, request.Key)
 	if earliness == isEarly {
 		return Decision{request.ID, result.Overloaded, left, reasonEarly}, true
 	}
-	class := overload.shares.classOf(now, request.Kind, rankOf(request))
 	class.arrivals++
 	switch {
+	case overload.adaptive.value == 0:
+		return Decision{}, false
 	case now.Add(machine.serviceTime).After(request.Deadline):
 		return machine.refuse(now, request, reasonUsualTime), true
 	case !class.take(earliness == isReturning):
@@ -71,9 +73,14 @@
 }
 
 // Attempt records the end of a sub-request, or a wait of a request for a target with free capacity: queue is the number of requests that
-// wait at the target for each of its slots, and turnedAway whether the sub-request was refused or found no target.
-func (machine *Machine) Attempt(now time.Time, queue float64, turnedAway bool) {
+// wait at the target for each of its slots, and turnedAway whether the sub-request was refused or found no target. It returns the
+// decisions that follow from it.
+func (machine *Machine) Attempt(now time.Time, queue float64, turnedAway bool) []Decision {
 	machine.overload.adaptive.attempt(now, machine.running, queue, turnedAway)
+	if machine.waiting() == 0 {
+		return nil
+	}
+	return machine.Tick(now)
 }
 
 // End records the end of a started request that was in flight for the time held, and returns the decisions that follow from it.
--- a/reel/admit/returns.go
+++ b/reel/admit/returns.go
@@ -12,7 +12,6 @@
 	maxReturns        = 4096        // callers that are remembered
 	returnSweepPeriod = time.Second
 	maxEarlyShare     = 0.5 // share of the requests that may be taken for early repetitions; with more, their keys tell little
-	earlyTime         = time.Second
 )
 
 // returns remembers the callers that were refused, by key.
--- a/reel/admit/shares.go
+++ b/reel/admit/shares.go
@@ -8,16 +8,18 @@
 )
 
 const (
-	sharePeriod  = 50 * time.Millisecond  // between two computations of the shares
-	demandTime   = 250 * time.Millisecond // averages the recent demand
-	ordinaryTime = 20 * time.Second       // averages the demand that weights the shares, while there is no limit
-	frozenFactor = 20                     // times slower while there is a limit, so that a flood gains little weight
-	minShare     = 0.6                    // share of its weight that each class keeps at least
-	maxRank      = 7                      // ranks above count as this one
-	classTTL     = time.Minute            // without requests, after which a class is deleted
-	minOrdinary  = 0.1                    // requests a second, so that the weight of a class is above 0
-	returnedDebt = 2.0                    // requests by which callers that return may be ahead of their class
-	creditCap    = 1.0                    // requests that a class may save up
+	sharePeriod    = 50 * time.Millisecond  // between two computations of the shares
+	demandTime     = 200 * time.Millisecond // averages the recent demand
+	ordinaryTime   = 20 * time.Second       // averages the demand that weights the shares, while there is no limit
+	frozenFactor   = 20                     // times slower while there is a limit, so that a flood gains little weight
+	maxGrowth      = 2.0                    // demand that counts as ordinary, at most, as a multiple of what was ordinary before, for the class or on average
+	settledPeriods = 10                     // after which an average counts as ordinary
+	minShare       = 0.6                    // share of its weight that each class keeps at least
+	maxRank        = 7                      // ranks above count as this one
+	classTTL       = time.Minute            // without requests, after which a class is deleted
+	minOrdinary    = 0.1                    // requests a second, so that the weight of a class is above 0
+	returnedDebt   = 2.0                    // requests by which callers that return may be ahead of their class
+	creditCap      = 1.0                    // requests that a class may save up
 )
 
 // class is the requests of one kind and rank within a machine.
@@ -33,10 +35,11 @@
 	usedAt   time.Time
 }
 
-// shares divides what may be admitted between classes. Each class keeps a part of its ordinary share; the rest goes by rank, and
-// within a rank by ordinary demand. Requests above the share of their class are refused evenly.
+// shares divides what may be admitted between classes. Each class keeps a part of its ordinary share. The rest goes by rank, and within
+// a rank by ordinary demand, first to what is ordinary, so that a flood gets what is left after all ranks. Requests above the share of their class are refused evenly.
 type shares struct {
 	classes   []*class
+	periods   int // since the start
 	updatedAt time.Time
 }
 
@@ -44,7 +47,7 @@
 func (shares *shares) classOf(now time.Time, kind string, rank int) *class {
 	found := shares.find(kind, rank)
 	if found == nil {
-		found = &class{kind: kind, rank: rank, share: 1}
+		found = &class{kind: kind, rank: rank, share: 1, periods: shares.periods}
 		shares.classes = append(shares.classes, found)
 	}
 	found.usedAt = now
@@ -61,8 +64,8 @@
 	return nil
 }
 
-// update computes the shares of the rate, in requests a second, once in a period.
-func (shares *shares) update(now time.Time, rate float64) {
+// update computes the shares of the rate, a function of the time elapsed, once in a period.
+func (shares *shares) update(now time.Time, rateAfter func(elapsed time.Duration) float64) {
 	elapsed := now.Sub(shares.updatedAt)
 	if elapsed < sharePeriod {
 		return
@@ -72,24 +75,31 @@
 		return
 	}
 	shares.updatedAt = now
+	shares.periods++
+	rate := rateAfter(elapsed)
 	shares.classes = slices.DeleteFunc(shares.classes, func(class *class) bool { return now.Sub(class.usedAt) >= classTTL })
+	mean := shares.ordinary() / float64(max(len(shares.classes), 1))
 	for _, class := range shares.classes {
-		class.measure(elapsed, !math.IsInf(rate, 1))
+		class.measure(elapsed, !math.IsInf(rate, 1), mean)
 	}
 	shares.divide(rate)
 }
 
-// measure updates the averages of the demand.
-func (class *class) measure(elapsed time.Duration, limited bool) {
+// measure updates the averages of the demand; mean is the mean ordinary demand of all classes. A flood that has just begun, before
+// it shows in the targets, counts as a growth of the ordinary demand in part only.
+func (class *class) measure(elapsed time.Duration, limited bool, mean float64) {
 	current := float64(class.arrivals) / elapsed.Seconds()
 	class.arrivals = 0
 	class.periods++
 	class.demand += max(gain(elapsed, demandTime), 1/float64(class.periods)) * (current - class.demand)
-	slow := ordinaryTime
-	if limited {
-		slow *= frozenFactor
+	slow := max(gain(elapsed, ordinaryTime), 1/float64(class.periods))
+	if class.periods > settledPeriods {
+		current = min(current, maxGrowth*max(class.weight(), mean))
+		if limited {
+			slow /= frozenFactor
+		}
 	}
-	class.ordinary += max(gain(elapsed, slow), 1/float64(class.periods)) * (current - class.ordinary)
+	class.ordinary += slow * (current - class.ordinary)
 }
 
 // gain returns the weight of the newest sample in a moving average over the time.
@@ -99,9 +109,8 @@
 
 // divide gives each class its minimum, and what is left to the classes by rank.
 func (shares *shares) divide(rate float64) {
-	total, demand := 0.0, 0.0
+	total, demand := shares.ordinary(), 0.0
 	for _, class := range shares.classes {
-		total += class.weight()
 		demand += class.demand
 	}
 	if demand <= rate {
@@ -117,13 +126,17 @@
 		left -= granted[class]
 	}
 	byRank := slices.SortedStableFunc(slices.Values(shares.classes), func(a, b *class) int { return cmp.Compare(a.rank, b.rank) })
-	for len(byRank) > 0 && left > 0 {
-		end := slices.IndexFunc(byRank, func(class *class) bool { return class.rank != byRank[0].rank })
-		if end < 0 {
-			end = len(byRank)
+	ordinary := func(class *class) float64 { return min(class.demand, class.ordinaryAtMost()) }
+	recent := func(class *class) float64 { return class.demand }
+	for _, wanted := range []func(*class) float64{ordinary, recent} {
+		for first := 0; first < len(byRank); {
+			last := first
+			for last < len(byRank) && byRank[last].rank == byRank[first].rank {
+				last++
+			}
+			left = fill(byRank[first:last], granted, wanted, left)
+			first = last
 		}
-		left = fill(byRank[:end], granted, left)
-		byRank = byRank[end:]
 	}
 	for _, class := range shares.classes {
 		class.share = 1
@@ -133,9 +146,18 @@
 	}
 }
 
-// fill raises what is granted to classes of one rank by their weights, up to their demands, and returns what is left.
-func fill(classes []*class, granted map[*class]float64, left float64) float64 {
-	open := slices.Clone(classes)
+// ordinary returns the ordinary demand of all classes.
+func (shares *shares) ordinary() float64 {
+	total := 0.0
+	for _, class := range shares.classes {
+		total += class.weight()
+	}
+	return total
+}
+
+// fill raises what is granted to classes of one rank by their weights, up to what they want, and returns what is left.
+func fill(classes []*class, granted map[*class]float64, wanted func(*class) float64, left float64) float64 {
+	open := slices.DeleteFunc(slices.Clone(classes), func(class *class) bool { return granted[class] >= wanted(class) })
 	for len(open) > 0 && left > 0 {
 		total := 0.0
 		for _, class := range open {
@@ -144,9 +166,9 @@
 		rest, satisfied := left, false
 		for _, class := range open {
 			part := left * class.weight() / total
-			missing := class.demand - granted[class]
+			missing := wanted(class) - granted[class]
 			if missing <= part {
-				granted[class], satisfied = class.demand, true
+				granted[class], satisfied = wanted(class), true
 				rest -= missing
 			}
 		}
@@ -157,13 +179,18 @@
 			return 0
 		}
 		left = rest
-		open = slices.DeleteFunc(open, func(class *class) bool { return granted[class] >= class.demand })
+		open = slices.DeleteFunc(open, func(class *class) bool { return granted[class] >= wanted(class) })
 	}
 	return max(left, 0)
 }
 
 func (class *class) weight() float64 { return max(class.ordinary, minOrdinary) }
 
+// ordinaryAtMost returns the ordinary demand with twice the standard deviation of the recent demand for arrivals at random.
+func (class *class) ordinaryAtMost() float64 {
+	return class.weight() + 2*math.Sqrt(class.weight()/(2*demandTime.Seconds()))
+}
+
 // take reports whether the share of the class allows a request now. One that returns as it was told may be ahead of others.
 func (class *class) take(returned bool) bool {
 	if class.share >= 1 {
--- a/shallotreel/ingress/admission.go
+++ b/shallotreel/ingress/admission.go
@@ -122,10 +122,10 @@
 	route := run.plan.Route
 	group := run.handler.admission.group(now, route, run.plan.Services)
 	decision := group.acquire(ctx, now, route, admit.Request{Kind: route.Name, Weight: 1, Rank: route.Priority,
-		Deadline: run.plan.Deadline, MaxWait: route.Goal / goalPerWait, Key: run.plan.Fingerprint.String()})
+		Deadline: run.plan.Deadline, MaxWait: max(route.Goal/goalPerWait, time.Millisecond), Key: run.plan.Fingerprint.String()})
 	switch decision.Code {
 	case result.OK:
-		run.ticket = &ticket{group: group, route: route, admittedAt: time.Now(), full: map[string]bool{}}
+		run.ticket = &ticket{group: group, route: route, admittedAt: time.Now(), loaded: map[string]bool{}}
 		return nil
 	case result.Canceled:
 		return &query.Finish{Code: result.Canceled, Reason: reasonDisconnected}
@@ -140,13 +140,13 @@
 		return
 	}
 	now := time.Now()
-	evidence := run.ticket.evidence()
-	evidence.Took, evidence.Goal = now.Sub(run.start), run.plan.Route.Goal
-	switch finish.Code {
-	case result.OK, result.Partial, result.Relayed:
-	default:
-		evidence.Failed = true
+	var gaps []query.Gap
+	isServed := finish.Code == result.OK || finish.Code == result.Partial || finish.Code == result.Relayed
+	if !isServed {
+		gaps = run.machine.Gaps(now)
 	}
+	evidence := run.ticket.evidence(gaps)
+	evidence.Failed, evidence.Took = !isServed, now.Sub(run.start)
 	signal := evidence.Signal()
 	if finish.Code == result.Canceled && evidence.Took <= evidence.Goal || run.record.HandedOver != "" {
 		signal = admit.Neutral
--- a/shallotreel/ingress/group.go
+++ b/shallotreel/ingress/group.go
@@ -1,13 +1,10 @@
 package ingress
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,7 +12,6 @@
 
 	"shallotreel.example/reel/admit"
 	"shallotreel.example/reel/catalogue"
-	"shallotreel.example/reel/choice"
 	"shallotreel.example/reel/result"
 )
 
@@ -50,18 +46,6 @@
 	running  int
 }
 
-// ticket is the admission of one request. Its counters may be changed by any goroutine.
-type ticket struct {
-	group      *group
-	route      *catalogue.Route
-	admittedAt time.Time
-	full       map[string]bool // services of which no target had free capacity; of the goroutine of the request
-	attempts   atomic.Int32
-	refused    atomic.Int32
-	noRoom     atomic.Int32
-	queued     atomic.Int32
-}
-
 func newGroup(services []string, random *rand.Rand, admission *Admission) *group {
 	tags := map[string]string{"group": services[0], "services": strconv.Itoa(len(services))}
 	return &group{services: services, admission: admission, machine: admit.NewAdaptive(random), waiting: map[admit.ID]chan admit.Decision{},
@@ -219,117 +203,8 @@
 	}
 }
 
-// attemptEnded records the end of an attempt of an admitted request, and what its target reported.
-func (ticket *ticket) attemptEnded(now time.Time, outcome choice.Outcome, report choice.Report) {
-	queue, turnedAway := 0.0, false
-	if report.Load != nil {
-		queue = float64(report.Load.Waiting) / float64(max(report.Load.Slots, 1))
-	}
-	switch outcome {
-	case choice.Answered:
-	case choice.Refused:
-		isFull := report.Load == nil || report.Load.Waiting > 0 || report.Load.Running >= report.Load.Slots
-		if report.Leaving || !isFull {
-			return
-		}
-		turnedAway, queue = true, 1
-	case choice.ConnectionsExhausted:
-		turnedAway, queue = true, 1
-	default:
-		ticket.attempts.Add(1)
-		return
-	}
-	ticket.attempts.Add(1)
-	switch {
-	case turnedAway:
-		ticket.refused.Add(1)
-	case queue >= queuedShare:
-		ticket.queued.Add(1)
-	}
-	ticket.group.attempt(now, queue, turnedAway)
-}
-
-// queuedShare is the queue relative to the slots of a target from which its answer counts as queued.
-const queuedShare = 0.5
-
-// noRoomAt records that no target of the service had free capacity.
-func (ticket *ticket) noRoomAt(now time.Time, service string) {
-	if ticket.full[service] {
-		return
-	}
-	ticket.full[service] = true
-	ticket.attempts.Add(1)
-	ticket.noRoom.Add(1)
-	ticket.group.attempt(now, 1, true)
-}
-
 func (group *group) attempt(now time.Time, queue float64, turnedAway bool) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
-	group.machine.Attempt(now, queue, turnedAway)
-}
-
-func (ticket *ticket) evidence() admit.Evidence {
-	return admit.Evidence{Attempts: int(ticket.attempts.Load()), Refused: int(ticket.refused.Load()), NoRoom: int(ticket.noRoom.Load()),
-		Queued: int(ticket.queued.Load())}
-}
-
-// GroupLoad is the state of the admission of the requests to one set of services, for operators.
-type GroupLoad struct {
-	Service     string        `json:"service"`  // name of the first service
-	Services    int           `json:"services"` // number of services
-	Limit       int           `json:"limit"`    // concurrent requests, 0 for none
-	InFlight    int           `json:"in_flight"`
-	Refusing    bool          `json:"refusing"`
-	Evidence    string        `json:"evidence"`     // newest evidence, empty if there is none
-	EvidenceAge time.Duration `json:"evidence_age"` // age of it, in nanoseconds
-	Ranks       []RankLoad    `json:"ranks"`
-}
-
-// RankLoad is the state of the requests of one rank.
-type RankLoad struct {
-	Rank     int            `json:"rank"`
-	Admitted int            `json:"admitted"` // since the start of the group
-	Refused  map[string]int `json:"refused"`  // in the same time, by reason
-	InFlight int            `json:"in_flight"`
-	Waiting  int            `json:"waiting"`
-}
-
-// Load returns the state of the admission of each group.
-func (handler *Handler) Load() []GroupLoad {
-	now := time.Now()
-	handler.admission.mutex.Lock()
-	groups := make([]*group, 0, len(handler.admission.groups))
-	for _, group := range handler.admission.groups {
-		groups = append(groups, group)
-	}
-	handler.admission.mutex.Unlock()
-	var loads []GroupLoad
-	for _, group := range groups {
-		loads = append(loads, group.load(now))
-	}
-	slices.SortFunc(loads, func(a, b GroupLoad) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Services, b.Services))
-	})
-	return loads
-}
-
-func (group *group) load(now time.Time) GroupLoad {
-	group.mutex.Lock()
-	defer group.mutex.Unlock()
-	state := group.machine.State(now)
-	running, _, _ := group.machine.Load()
-	load := GroupLoad{Service: group.services[0], Services: len(group.services), Limit: state.Limit, InFlight: running, Refusing: state.Refusing}
-	if !state.SignalAt.IsZero() {
-		load.Evidence, load.EvidenceAge = state.Signal.String(), now.Sub(state.SignalAt)
-	}
-	for rank, counts := range group.ranks {
-		refused := map[string]int{}
-		for reason, count := range counts.refused {
-			refused[reason] = count
-		}
-		load.Ranks = append(load.Ranks, RankLoad{rank, counts.admitted, refused, counts.inFlight, counts.waiting})
-	}
-	slices.SortFunc(load.Ranks, func(a, b RankLoad) int { return cmp.Compare(a.Rank, b.Rank) })
-	return load
+	group.notify(group.machine.Attempt(now, queue, turnedAway))
 }
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -179,7 +179,7 @@
 	now := time.Now()
 	run.handler.path.Ended(now, send.AttemptID, send.Pick.Target.Address, ended)
 	run.handler.router.recordEnd(now, send.Pick.Target, send.AttemptID, outcome, report)
-	run.ticket.attemptEnded(now, outcome, report)
+	run.ticket.attemptEnded(now, send.Service, outcome, report)
 	if report.Leaving {
 		run.handler.catalogue.RecordLeaving(send.Pick.Target)
 	}
