--- a/reel/admit/adaptive.go
+++ b/reel/admit/adaptive.go
@@ -18,7 +18,7 @@
 	recoverySetpoint  = 0.25                   // pressure up to which the limit grows fast or is removed
 	maxDecrease       = 0.6                    // greatest decrease within one reaction time, as a factor
 	increaseStep      = 0.4                    // growth of the limit within one reaction time, as a multiple of its square root
-	idleFactor        = 0.5                   // greatest growth in the same time while requests are refused although the targets have no queues
+	idleFactor        = 0.5                    // greatest growth in the same time while requests are refused although the targets have no queues
 	recoveryFactor    = 1.5                    // growth in the same time while nothing is refused
 	minLimit          = 1.0                    // requests; keeps probing
 	minRemovalTime    = 250 * time.Millisecond // without a refusal, after which the limit is removed
@@ -56,7 +56,6 @@
 	ended      int
 	overloaded int
 	refused    int // requests
-	peak       int // greatest number of requests in flight
 }
 
 func (adaptive *adaptive) limit() int {
@@ -101,7 +100,6 @@
 // advance starts a limit as soon as the evidence suffices, and ends the period after the reaction time.
 func (adaptive *adaptive) advance(now time.Time, running int) {
 	counts := &adaptive.counts
-	counts.peak = max(counts.peak, running)
 	if adaptive.value == 0 && counts.showOverload() {
 		adaptive.begin(now, running)
 		return
@@ -118,7 +116,7 @@
 		adaptive.begin(now, running)
 		return
 	}
-	adaptive.periodStart, adaptive.counts = now, periodCounts{peak: running}
+	adaptive.periodStart, adaptive.counts = now, periodCounts{}
 }
 
 // meanPressure returns the pressure as an average over the attempts.
@@ -155,7 +153,7 @@
 		adaptive.value = min(adaptive.value, adaptive.remembered)
 	}
 	adaptive.changedAt, adaptive.refusedAt = now, now
-	adaptive.periodStart, adaptive.counts = now, periodCounts{peak: running}
+	adaptive.periodStart, adaptive.counts = now, periodCounts{}
 }
 
 // adjust changes the limit at the end of a period.
--- a/reel/admit/shares.go
+++ b/reel/admit/shares.go
@@ -12,9 +12,9 @@
 	demandTime     = 200 * time.Millisecond // averages the recent demand
 	ordinaryTime   = 20 * time.Second       // averages the demand that weights the shares, while there is no limit
 	frozenFactor   = 20                     // times slower while there is a limit, so that a flood gains little weight
-	maxGrowth      = 2.0                    // demand that counts as ordinary, at most, as a multiple of what was ordinary before, for the class or on average
+	maxGrowth      = 2.0                    // greatest demand that counts as ordinary, as a multiple of the ordinary one before
 	settledPeriods = 10                     // after which an average counts as ordinary
-	minShare       = 0.6                    // share of its weight that each class keeps at least
+	minShare       = 0.65                   // share of its weight that each class keeps at least
 	maxRank        = 7                      // ranks above count as this one
 	classTTL       = time.Minute            // without requests, after which a class is deleted
 	minOrdinary    = 0.1                    // requests a second, so that the weight of a class is above 0
@@ -36,7 +36,8 @@
 }
 
 // shares divides what may be admitted between classes. Each class keeps a part of its ordinary share. The rest goes by rank, and within
-// a rank by ordinary demand, first to what is ordinary, so that a flood gets what is left after all ranks. Requests above the share of their class are refused evenly.
+// a rank by ordinary demand, first to what is ordinary, so that a flood gets what is left after all ranks. Requests above the share of
+// their class are refused evenly.
 type shares struct {
 	classes   []*class
 	periods   int // since the start
--- a/shallotreel/ingress/handler.go
+++ b/shallotreel/ingress/handler.go
@@ -241,7 +241,7 @@
 		return http.StatusRequestEntityTooLarge
 	case result.BadRequest:
 		return http.StatusBadRequest
-	case result.NotReady, result.NoTarget, result.Quarantined, result.Overloaded:
+	case result.NotReady, result.NoTarget, result.Quarantined, result.Overloaded, result.TooLate:
 		return http.StatusServiceUnavailable
 	case result.DeadlineExceeded:
 		return http.StatusGatewayTimeout
