Requests: refuse what was never sent, and stop futile work

Cause: attempts that waited for a connection counted as "may have run", so requests of which nothing was sent ended with 502 or 504. Under overload, failed requests kept targets busy, and hedges and retries added to the load. connpool reset what it knew of a sent call when its connection was released, so that a call cancelled before its end was reported as not sent.

Change: Pool.Cancel reports whether anything was or can be sent, in one order with the assignment of connections, and no longer closes a connection that another call has taken. A request that is about to end with an unknown outcome cancels its attempts if none was sent, and is refused with no_target and a time to retry. Attempts without a connection end with a failed request. Under overload those that were sent are cancelled at once and do not count against their targets. A pure function decides on hedges and retries under overload. No attempt is sent when the time left is shorter than answers take. An answer that is ready when a timeout fires is handled first.

--- a/reel/query/admit.go
+++ b/reel/query/admit.go
@@ -34,6 +34,9 @@
 	if machine.unsentReason == reasonUnwilling {
 		until = machine.plan.Start.Add(machine.plan.SoftDeadline.Sub(machine.plan.Start) / capacityWaitDivisor)
 	}
+	if machine.isTooLate(now) {
+		return machine.failureFinish(reasonTooLate), true
+	}
 	if now.Before(until) {
 		return Finish{}, false
 	}
--- a/reel/query/end.go
+++ b/reel/query/end.go
@@ -24,6 +24,9 @@
 	if !now.Before(machine.answerBy()) {
 		return machine.deadlineFinish(), true
 	}
+	if machine.isTooLate(now) {
+		return machine.failureFinish(reasonTooLate), true
+	}
 	if verdict, left := machine.router.Verdict(now, machine.plan.Fingerprint); verdict == quarantine.Quarantined {
 		return Finish{Code: result.Quarantined, RetryAfter: left, Reason: reasonQuarantined}, true
 	}
--- a/reel/query/messages.go
+++ b/reel/query/messages.go
@@ -52,6 +52,10 @@
 	EndTrial(fingerprint quarantine.Fingerprint, next time.Time)
 	// LatencyQuantile returns the given quantile, from 0 to 1, of the latency of the route's answers.
 	LatencyQuantile(route *catalogue.Route, quantile float64) time.Duration
+	// RecentLatency is like LatencyQuantile, but returns 0 if the latency is unknown or no answer has arrived recently.
+	RecentLatency(now time.Time, route *catalogue.Route, quantile float64) time.Duration
+	// Overloaded reports whether admission control refuses requests of the route's group, so that its targets are overloaded.
+	Overloaded(now time.Time, route *catalogue.Route) bool
 }
 
 // Execution says whether the target executed an attempt.
--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -52,6 +52,7 @@
 	trialUntil      time.Time     // when a trial without an answer ends
 	unsentReason    string        // why no attempt was sent yet, empty once one may be
 	quietRetryAfter time.Duration // until a service takes requests again whose targets want none now
+	latestSend      time.Time     // when the last attempt may be sent whose answer can arrive in time, zero if unknown
 }
 
 // attempt is an attempt in flight.
@@ -89,6 +90,7 @@
 
 // Begin starts the request and returns its first attempts, or its end if it cannot succeed now.
 func (machine *Machine) Begin(now time.Time) []Action {
+	machine.setLatestSend(now)
 	if finish, refused := machine.refuseEarly(now); refused {
 		return machine.finish(finish)
 	}
@@ -155,6 +157,9 @@
 		if part.answer == nil && !part.failed {
 			next = earliest(next, part.hedgeAt)
 			next = earliest(next, part.capacityCheckAt)
+			if part.inFlight == 0 {
+				next = earliest(next, machine.latestSend)
+			}
 		}
 	}
 	return next
@@ -224,6 +229,13 @@
 		part.failed = true
 		return nil
 	}
+	if machine.failLate(now, part) {
+		return nil
+	}
+	if part.mayHaveArrived && machine.decideExtra(now, extra.Retry) == sendNever {
+		part.skipReason, part.failed = reasonLoad, true
+		return nil
+	}
 	if isExtra && !machine.mayAddExtra() {
 		part.held = true
 		return nil
@@ -244,6 +256,8 @@
 	switch {
 	case part.answer != nil || part.failed:
 		return nil
+	case part.inFlight == 0 && machine.failLate(now, part):
+		return nil
 	case !part.capacityCheckAt.IsZero() && !now.Before(part.capacityCheckAt):
 		if part.generation > 0 && !machine.mayAddExtra() {
 			part.capacityCheckAt = now.Add(capacityPollInterval)
@@ -259,23 +273,6 @@
 	return nil
 }
 
-// hedge sends a second attempt for a part whose only attempt in flight has not been answered within the hedge delay.
-func (machine *Machine) hedge(now time.Time, part *part) []Action {
-	if part.inFlight != 1 || part.possibleRuns >= machine.maxAttempts() {
-		return nil
-	}
-	if _, ok := machine.router.Choose(now, machine.plan.Route, part.service, part.tried); !ok {
-		part.skipReason = "no other target has free capacity"
-		return nil
-	}
-	if !machine.router.SpendExtra(now, part.service, extra.Hedge) {
-		part.skipReason = "the budget for retries and hedges is exhausted"
-		return nil
-	}
-	part.generation++
-	return machine.startAttempt(now, part, "hedge")
-}
-
 // startAttempt sends an attempt of the given kind for the part, or waits if no untried target has free capacity.
 func (machine *Machine) startAttempt(now time.Time, part *part, kind string) []Action {
 	part.capacityCheckAt, part.held = time.Time{}, false
@@ -283,6 +280,9 @@
 		part.skipReason, part.failed = reasonQuarantined, part.inFlight == 0
 		return nil
 	}
+	if machine.failLate(now, part) {
+		return nil
+	}
 	pick, ok := machine.router.Choose(now, machine.plan.Route, part.service, part.tried)
 	if !ok {
 		part.tried = nil // every target was tried or is at capacity; at the next check any of them may have free capacity
@@ -339,18 +339,6 @@
 	return machine.plan.Start.Add(machine.plan.SoftDeadline.Sub(machine.plan.Start) / capacityWaitDivisor)
 }
 
-// hedgeDelay returns how long to wait for an answer before a hedge is considered: longer than most answers take, and
-// as long as a hedge that is sent then can still meet the soft deadline.
-func (machine *Machine) hedgeDelay(now time.Time) time.Duration {
-	delay := machine.router.LatencyQuantile(machine.plan.Route, hedgeQuantile)
-	remaining := machine.plan.SoftDeadline.Sub(now)
-	if remaining > 0 {
-		latest := remaining - time.Duration(hedgeCompletionFactor*float64(machine.router.LatencyQuantile(machine.plan.Route, hedgeCompletionQuantile)))
-		delay = min(max(delay, latest), max(remaining/2, latest))
-	}
-	return max(delay, minHedgeDelay)
-}
-
 // maxAttempts returns how many attempts of a part may run; a request that is not idempotent may run only once.
 func (machine *Machine) maxAttempts() int {
 	if !machine.plan.Route.Idempotent {
--- a/reel/query/router_test.go
+++ b/reel/query/router_test.go
@@ -25,6 +25,8 @@
 	verdict    quarantine.Verdict
 	tried      bool      // whether another request is being tried
 	nextTrial  time.Time // when the next trial may begin
+	overloaded bool
+	latency    time.Duration // of recent answers, 0 while it is unknown
 }
 
 func (router *router) Choose(_ time.Time, _ *catalogue.Route, service string, tried []string) (choice.Pick, bool) {
@@ -80,3 +82,9 @@
 }
 
 func (router *router) LatencyQuantile(*catalogue.Route, float64) time.Duration { return 20 * ms }
+
+func (router *router) RecentLatency(time.Time, *catalogue.Route, float64) time.Duration {
+	return router.latency
+}
+
+func (router *router) Overloaded(time.Time, *catalogue.Route) bool { return router.overloaded }
--- a/shallotreel/connpool/call.go
+++ b/shallotreel/connpool/call.go
@@ -26,6 +26,7 @@
 	finished   atomic.Bool
 	cancel     context.CancelFunc // cancels the dial
 	connection *connection        // guarded by the pool's mutex
+	sent       bool               // whether a connection was ever assigned; guarded by the pool's mutex
 	canceled   bool               // whether Cancel was called; guarded by the pool's mutex
 }
 
--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -113,28 +113,38 @@
 }
 
 // Cancel ends the call with ErrCanceled, unless it has ended already, and closes its connection, by which the target
-// learns of the cancellation.
-func (pool *Pool) Cancel(call *Call) {
+// learns of the cancellation. It reports whether any part of the request was sent or can still be sent; after it has
+// reported false, nothing of the request is ever sent.
+func (pool *Pool) Cancel(call *Call) (sent bool) {
 	pool.mutex.Lock()
 	call.canceled = true
-	connection := call.connection
+	sent = call.sent
 	pool.mutex.Unlock()
 	// The call ends before the connection closes, so that the closed connection is not reported as a failure of the
 	// target.
-	call.finish(Result{Sent: connection != nil, Err: ErrCanceled})
+	call.finish(Result{Sent: sent, Err: ErrCanceled})
 	if call.cancel != nil {
 		call.cancel()
 	}
-	if connection != nil {
-		pool.closeConnection(connection)
-	}
+	pool.closeConnectionOf(call)
+	return sent
 }
 
 // MayBeSent reports whether any part of the call's request may have reached the target already.
 func (pool *Pool) MayBeSent(call *Call) bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	return call.connection != nil
+	return call.sent
+}
+
+// assign gives the connection to the call, which is sent from then on. It reports false if the call is canceled; then
+// nothing of it may be sent. The caller holds the mutex, so that Cancel sees either both or neither.
+func (pool *Pool) assign(call *Call, connection *connection) bool {
+	if call.canceled {
+		return false
+	}
+	connection.call, call.connection, call.sent = call, connection, true
+	return true
 }
 
 // takeIdle assigns the most recently used idle connection to the call. It returns nil if there is none that may be
@@ -151,8 +161,10 @@
 	if now.After(connection.expires) || call.RequireFresh && now.Sub(connection.idleAt) > maxFreshIdleTime {
 		return nil
 	}
+	if !pool.assign(call, connection) {
+		return nil
+	}
 	pool.idle[call.Address] = idle[:len(idle)-1]
-	connection.call, call.connection = call, connection
 	return connection
 }
 
@@ -188,14 +200,13 @@
 		return
 	}
 	pool.mutex.Lock()
-	canceled := call.canceled
-	if !canceled {
-		connection.call, call.connection = call, connection
+	assigned := pool.assign(call, connection)
+	if assigned {
 		pool.open++
 		pool.dials++
 	}
 	pool.mutex.Unlock()
-	if canceled {
+	if !assigned {
 		conn.Close()
 		return
 	}
@@ -289,15 +300,33 @@
 // closeConnection closes the connection, unless it is closed already, and removes it from the pool.
 func (pool *Pool) closeConnection(connection *connection) {
 	pool.mutex.Lock()
+	removed := pool.remove(connection)
+	pool.mutex.Unlock()
+	if removed {
+		connection.conn.Close()
+	}
+}
+
+// closeConnectionOf closes the connection of the call, unless it has been released and may serve another call.
+func (pool *Pool) closeConnectionOf(call *Call) {
+	pool.mutex.Lock()
+	connection := call.connection
+	removed := connection != nil && pool.remove(connection)
+	pool.mutex.Unlock()
+	if removed {
+		connection.conn.Close()
+	}
+}
+
+// remove removes the connection from the pool and reports whether the caller must close it. The caller holds the mutex.
+func (pool *Pool) remove(connection *connection) bool {
 	if connection.closed {
-		pool.mutex.Unlock()
-		return
+		return false
 	}
 	connection.closed = true
 	pool.open--
 	pool.removeIdle(connection)
-	pool.mutex.Unlock()
-	connection.conn.Close()
+	return true
 }
 
 // removeIdle removes the connection from the idle ones. The caller holds the mutex.
--- a/shallotreel/crashwatch/simulated_instance_test.go
+++ b/shallotreel/crashwatch/simulated_instance_test.go
@@ -183,6 +183,12 @@
 	return 30 * time.Millisecond
 }
 
+// RecentLatency implements query.Router.
+func (instance *instance) RecentLatency(time.Time, *catalogue.Route, float64) time.Duration { return 0 }
+
+// Overloaded implements query.Router.
+func (instance *instance) Overloaded(time.Time, *catalogue.Route) bool { return false }
+
 // BeginTrial implements query.Router.
 func (instance *instance) BeginTrial(now time.Time, fingerprint quarantine.Fingerprint) bool {
 	return instance.watch.BeginTrial(now, fingerprint)
--- a/shallotreel/ingress/handover.go
+++ b/shallotreel/ingress/handover.go
@@ -133,34 +133,19 @@
 	return result.NoTarget
 }
 
-// anySent reports whether any byte of an open attempt may have been sent.
-func (run *run) anySent() bool {
-	for _, call := range run.calls {
-		if run.handler.pool.MayBeSent(call) {
-			return true
-		}
-	}
-	return false
-}
-
 // withdraw cancels the open attempts and returns what may have been sent.
 func (run *run) withdraw() []query.Spent {
-	open := run.calls
-	run.calls = map[uint64]*connpool.Call{}
-	for _, call := range open {
-		run.handler.pool.Cancel(call)
-	}
-	unsent := map[uint64]bool{}
+	spent := run.machine.Withdraw(run.cancelAttempt)
 	for ended := true; ended; {
 		select {
 		case answer := <-run.answers:
-			unsent[answer.AttemptID] = !answer.Sent
 			run.recordAnswer(time.Now(), answer)
 		default:
 			ended = false
 		}
 	}
-	return run.machine.Withdraw(func(attemptID uint64) bool { return !unsent[attemptID] })
+	run.calls = map[uint64]*connpool.Call{}
+	return spent
 }
 
 // handOver has the request served by way of another instance, after what was spent on it here. The request was counted here if
--- a/shallotreel/ingress/router.go
+++ b/shallotreel/ingress/router.go
@@ -33,14 +33,17 @@
 	onHealthChange func(choice.HealthChange) // called without the lock when the estimated health of a target or service changes
 	home           member.Member             // name and data centre of this instance
 	slack          extra.Shares
-	idle           bool // whether this instance is outside the working set
+	idle           bool                 // whether this instance is outside the working set
+	overload       Overload             // nil if nothing knows of overload
+	answeredAt     map[string]time.Time // newest answer of a target, by route
 }
 
 // NewRouter returns a router without traffic statistics for the instance home. It calls
 // onHealthChange for each change in the estimated health of a target or service.
 func NewRouter(catalogue Catalogue, pool *connpool.Pool, limits extra.Limits, home member.Member, random *rand.Rand, onHealthChange func(choice.HealthChange)) *Router {
 	router := &Router{catalogue: catalogue, pool: pool, limits: limits, selector: choice.New(random), onHealthChange: onHealthChange,
-		budgets: map[string]*extra.Budget{}, rotations: map[string]*rotation{}, estimator: softdeadline.New(), home: home}
+		budgets: map[string]*extra.Budget{}, rotations: map[string]*rotation{}, estimator: softdeadline.New(), home: home,
+		answeredAt: map[string]time.Time{}}
 	router.selector.SetFleet(choice.Fleet{Name: home.Name, DataCentre: home.DataCentre, Instances: map[string]int{home.DataCentre: 1}, Total: 1,
 		Members: []choice.FleetMember{{Name: home.Name, DataCentre: home.DataCentre}}})
 	return router
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -43,6 +43,7 @@
 	answers        chan *query.Answer
 	attemptIndexes map[uint64]int // index in record.Attempts by attempt id
 	answered       atomic.Bool    // whether any target has run the request
+	overloaded     atomic.Bool    // whether the group of the route was overloaded when the request ended
 	wave           uint64         // identifies the first attempts; those of later generations follow
 	isRelayed      bool           // whether another instance has handed the request over
 	pathLost       bool           // whether a relayed request ended because this instance lost its path
@@ -67,11 +68,14 @@
 	if finish == nil {
 		finish = run.wait(ctx)
 	}
+	run.overloaded.Store(run.handler.router.Overloaded(time.Now(), run.plan.Route))
+	settled := run.settle(finish)
 	if run.failedWithoutPath(finish) {
 		if served := run.leavePath(ctx); served != nil {
-			finish = served
+			settled = served
 		}
 	}
+	finish = settled
 	if finish.Code != result.OK && finish.Code != result.Canceled && finish.Code != result.Quarantined && run.record.HandedOver == "" {
 		run.record.Gaps = run.machine.Gaps(time.Now())
 	}
@@ -82,7 +86,7 @@
 		run.handler.crashes.Completed(time.Now(), run.plan.Fingerprint)
 	}
 	run.record.Suspect = run.machine.Suspect()
-	run.cancelOpenCalls(finish.Code == result.Canceled)
+	run.cancelOpenCalls(finish.Code)
 	return *finish
 }
 
@@ -95,11 +99,9 @@
 		var actions []query.Action
 		select {
 		case answer := <-run.answers:
-			now := time.Now()
-			run.recordAnswer(now, answer)
-			actions, _ = run.machine.HandleAnswer(now, answer)
+			actions = run.handleAnswer(answer)
 		case <-timer.C:
-			actions = run.machine.Wake(time.Now())
+			actions = run.wake()
 		case <-lost:
 			if finish := run.leavePath(ctx); finish != nil {
 				return finish
@@ -117,14 +119,34 @@
 	}
 }
 
-// perform sends the attempts among the actions and returns the end of the request if it is one of them.
+// handleAnswer passes the end of an attempt to the machine.
+func (run *run) handleAnswer(answer *query.Answer) []query.Action {
+	now := time.Now()
+	run.recordAnswer(now, answer)
+	actions, _ := run.machine.HandleAnswer(now, answer)
+	return actions
+}
+
+// wake passes a timeout to the machine, or an answer that is ready, which must not be lost to a deadline.
+func (run *run) wake() []query.Action {
+	select {
+	case answer := <-run.answers:
+		return run.handleAnswer(answer)
+	default:
+		return run.machine.Wake(time.Now())
+	}
+}
+
+// perform returns the end of the request if it is one of the actions, and otherwise sends the attempts among them.
 func (run *run) perform(now time.Time, actions []query.Action) *query.Finish {
 	for _, action := range actions {
-		switch action := action.(type) {
-		case query.Send:
-			run.send(now, action)
-		case query.Finish:
-			return &action
+		if finish, ended := action.(query.Finish); ended {
+			return &finish
+		}
+	}
+	for _, action := range actions {
+		if send, ok := action.(query.Send); ok {
+			run.send(now, send)
 		}
 	}
 	return nil
@@ -170,10 +192,16 @@
 	if (outcome == choice.Failed || outcome == choice.Abandoned) && run.handler.path.IsLost() {
 		outcome = choice.Inconclusive
 	}
+	if outcome == choice.Abandoned && ended.Sent && run.overloaded.Load() {
+		outcome = choice.Inconclusive // the load delays the answer
+	}
 	answer.AttemptID = send.AttemptID
 	now := time.Now()
 	run.handler.path.Ended(now, send.AttemptID, send.Pick.Target.Address, ended)
 	run.handler.router.recordEnd(now, send.Pick.Target, send.AttemptID, outcome, report)
+	if outcome == choice.Answered {
+		run.handler.router.recordAnswered(now, run.plan.Route.Name)
+	}
 	if report.Leaving {
 		run.handler.catalogue.RecordLeaving(send.Pick.Target)
 	}
@@ -223,22 +251,3 @@
 	attempt.Status, attempt.Cause, attempt.Refused = answer.Status, answer.Cause, answer.Refused
 	delete(run.calls, answer.AttemptID)
 }
-
-// cancelOpenCalls cancels the attempts that are still open: at once if immediately is set, because the caller has
-// disconnected, and otherwise after lateAnswerWait.
-func (run *run) cancelOpenCalls(immediately bool) {
-	if len(run.calls) == 0 {
-		return
-	}
-	open := run.calls
-	cancel := func() {
-		for _, call := range open {
-			run.handler.pool.Cancel(call)
-		}
-	}
-	if immediately {
-		cancel()
-		return
-	}
-	time.AfterFunc(lateAnswerWait, cancel)
-}
