Requests: test of a refusal of an uncovered request whose other part is in flight

Cause: the case "uncovered" of TestSettle ended by the deadline.

Change: a refused part without budget ends it as uncovered.

--- a/reel/query/settle_test.go
+++ b/reel/query/settle_test.go
@@ -29,7 +29,7 @@
 		want result.Code // if nothing was sent
 	}{
 		{"deadline", func(session *session) { session.wake(1195) }, result.NoTarget},
-		{"uncovered", func(session *session) { session.answer(5, session.sends[0], unsent); session.wake(1195) }, result.NoTarget},
+		{"uncovered", func(session *session) { session.answer(5, session.sends[0], refused) }, result.NoTarget},
 		{"an attempt that ended may have run", func(session *session) { session.answer(5, session.sends[0], unanswered) }, result.Uncovered},
 		{"an earlier instance may have sent it", func(session *session) {
 			session.machine.plan.Spent = map[string]int{"shard-0": 1}
