--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -151,6 +151,7 @@
 		Peers: front.roster, Incarnation: front.self.Incarnation, Log: front.log, OnReady: front.markConfigured,
 		OnTargetChange: func(change catalogue.Change) { front.crashes.TargetChanged(time.Now(), change) }})
 	front.admission = ingress.NewAdmission(front.log, front.scope, random())
+	front.router.SetOverload(front.admission)
 	front.handler = ingress.New(front.feed, front.router, front.pool, front.crashes, front.path, front.helpers, newRecorder(front.log, front.scope),
 		ingress.WithAdmission(front.admission))
 	relayServer := relay.NewServer(front.handler, front.log)
--- a/shallotreel/ingress/router.go
+++ b/shallotreel/ingress/router.go
@@ -37,15 +37,18 @@
 	idle           bool   // whether this instance is outside the working set
 	evacuations    uint64 // serial of the evacuations at the last choice
 	senders        *warmup.Senders
-	members        []warmup.Member // as last passed to SetMembers
-	lost           []warmup.Member // as last passed to SetLost
+	members        []warmup.Member      // as last passed to SetMembers
+	lost           []warmup.Member      // as last passed to SetLost
+	overload       Overload             // nil if nothing knows of overload
+	answeredAt     map[string]time.Time // newest answer of a target, by route
 }
 
 // NewRouter returns a router without traffic statistics for the instance home. It calls
 // onHealthChange for each change in the estimated health of a target or service.
 func NewRouter(catalogue Catalogue, pool *connpool.Pool, limits extra.Limits, home member.Member, random *rand.Rand, onHealthChange func(choice.HealthChange)) *Router {
 	router := &Router{catalogue: catalogue, pool: pool, limits: limits, selector: choice.New(random), onHealthChange: onHealthChange,
-		budgets: map[string]*extra.Budget{}, rotations: map[string]*rotation{}, estimator: softdeadline.New(), home: home}
+		budgets: map[string]*extra.Budget{}, rotations: map[string]*rotation{}, estimator: softdeadline.New(), home: home,
+		answeredAt: map[string]time.Time{}}
 	router.senders = warmup.NewSenders(warmup.Member{Name: home.Name, DataCentre: home.DataCentre})
 	router.selector.SetSenders(router.senders)
 	router.selector.SetFleet(choice.Fleet{Name: home.Name, DataCentre: home.DataCentre, Instances: map[string]int{home.DataCentre: 1}, Total: 1,
