--- a/reel/admit/adaptive.go
+++ b/reel/admit/adaptive.go
@@ -56,6 +56,7 @@
 	ended      int
 	overloaded int
 	refused    int // requests
+	peak       int // greatest number of requests in flight
 }
 
 func (adaptive *adaptive) limit() int {
@@ -100,6 +101,7 @@
 // advance starts a limit as soon as the evidence suffices, and ends the period after the reaction time.
 func (adaptive *adaptive) advance(now time.Time, running int) {
 	counts := &adaptive.counts
+	counts.peak = max(counts.peak, running)
 	if adaptive.value == 0 && counts.showOverload() {
 		adaptive.begin(now, running)
 		return
@@ -116,7 +118,7 @@
 		adaptive.begin(now, running)
 		return
 	}
-	adaptive.periodStart, adaptive.counts = now, periodCounts{}
+	adaptive.periodStart, adaptive.counts = now, periodCounts{peak: running}
 }
 
 // meanPressure returns the pressure as an average over the attempts.
@@ -153,7 +155,7 @@
 		adaptive.value = min(adaptive.value, adaptive.remembered)
 	}
 	adaptive.changedAt, adaptive.refusedAt = now, now
-	adaptive.periodStart, adaptive.counts = now, periodCounts{}
+	adaptive.periodStart, adaptive.counts = now, periodCounts{peak: running}
 }
 
 // adjust changes the limit at the end of a period.
@@ -172,6 +174,7 @@
 	case counts.refused == 0 && now.Sub(adaptive.refusedAt) >= minRemovalTime:
 		adaptive.remove(now)
 		return
+	case 2*float64(counts.peak) < adaptive.value: // what is not in use would be used at once when the demand rises
 	case counts.refused == 0 && now.Sub(adaptive.refusedAt) >= minRecoveryTime:
 		adaptive.value *= recoveryFactor
 	default:
