--- a/reel/admit/adaptive.go
+++ b/reel/admit/adaptive.go
@@ -51,8 +51,8 @@
 // periodCounts is the evidence of one reaction time.
 type periodCounts struct {
 	attempts   int
-	turnedAway int     // attempts refused by targets, and waits for a target with free capacity
-	pressure   float64 // sum over the attempts
+	turnedAway int // attempts refused by targets, and waits for a target with free capacity
+	pressures  pressures
 	ended      int
 	overloaded int
 	refused    int // requests
@@ -68,9 +68,12 @@
 
 // attempt records the end of a sub-request, or a wait for a target: the share of the target's slots for which requests wait,
 // at least 1 if it was turned away.
-func (adaptive *adaptive) attempt(now time.Time, running int, queue float64, turnedAway bool) {
+func (adaptive *adaptive) attempt(now time.Time, running int, service string, queue float64, turnedAway bool) {
 	adaptive.counts.attempts++
-	adaptive.counts.pressure += min(queue, 1)
+	if adaptive.counts.pressures == nil {
+		adaptive.counts.pressures = pressures{}
+	}
+	adaptive.counts.pressures.add(service, min(queue, 1))
 	if turnedAway {
 		adaptive.counts.turnedAway++
 	}
@@ -121,14 +124,9 @@
 	adaptive.periodStart, adaptive.counts = now, periodCounts{peak: running}
 }
 
-// meanPressure returns the pressure as an average over the attempts.
-func (counts *periodCounts) meanPressure() float64 {
-	return counts.pressure / float64(max(counts.attempts, 1))
-}
-
 // showPressure reports whether the pressure exceeds its setpoint, over sufficient attempts.
 func (counts *periodCounts) showPressure() bool {
-	return counts.attempts >= minAttempts && counts.meanPressure() > pressureSetpoint
+	return counts.attempts >= minAttempts && counts.pressures.median() > pressureSetpoint
 }
 
 // expire removes the limit after a time without traffic, in which it has become outdated.
@@ -144,8 +142,19 @@
 
 // showOverload reports whether the counts suffice to start a limit.
 func (counts *periodCounts) showOverload() bool {
-	return counts.overloaded >= minEvidence && float64(counts.overloaded) >= overloadedShare*float64(counts.ended) ||
-		counts.turnedAway >= minEvidence && float64(counts.turnedAway) >= turnedAwayShare*float64(counts.attempts)
+	if counts.overloaded < minEvidence && counts.turnedAway < minEvidence {
+		return false
+	}
+	pressure := counts.pressures.median()
+	if counts.isOverloaded(pressure) && counts.overloaded >= minEvidence {
+		return true
+	}
+	return counts.turnedAway >= minEvidence && float64(counts.turnedAway) >= turnedAwayShare*float64(counts.attempts) && pressure >= turnedAwayShare
+}
+
+// isOverloaded reports whether enough of the ended requests were overloaded, at a pressure that shows that their number is the cause.
+func (counts *periodCounts) isOverloaded(pressure float64) bool {
+	return counts.overloaded > 0 && float64(counts.overloaded) >= overloadedShare*float64(counts.ended) && pressure >= recoverySetpoint
 }
 
 // begin starts a limit at what is in flight, or at the last limit if that was lower and is not long ago.
@@ -161,10 +170,9 @@
 // adjust changes the limit at the end of a period.
 func (adaptive *adaptive) adjust(now time.Time) {
 	counts := adaptive.counts
-	pressure := counts.meanPressure()
-	isOverloaded := counts.overloaded > 0 && float64(counts.overloaded) >= overloadedShare*float64(counts.ended)
+	pressure := counts.pressures.median()
 	switch {
-	case isOverloaded:
+	case counts.isOverloaded(pressure):
 		adaptive.value *= maxDecrease
 	case pressure > pressureSetpoint:
 		excess := (pressure - pressureSetpoint) / (1 - pressureSetpoint)
--- a/reel/admit/overload.go
+++ b/reel/admit/overload.go
@@ -62,21 +62,30 @@
 	return Decision{}, false
 }
 
-// mayExceed reports whether the request may start although the limit is reached: the demand of its class is within its share, and
-// the limit is exceeded only by the chance of arrivals.
+// mayExceed reports whether the request may start although the limit is reached: the demand of its class is within its share. Beside
+// classes of lower rank, which are thinned out in its favour, it never waits for them to end; otherwise the limit is exceeded only by
+// the chance of arrivals.
 func (overload *overload) mayExceed(request Request, running, limit int) bool {
 	if overload == nil {
 		return false
 	}
-	class := overload.shares.find(request.Kind, rankOf(request))
-	return class != nil && class.share >= 1 && float64(running) < float64(limit)+overflowSpread*math.Sqrt(float64(limit))
+	rank := rankOf(request)
+	class := overload.shares.find(request.Kind, rank)
+	if class == nil || class.share < 1 {
+		return false
+	}
+	excess := overflowSpread * math.Sqrt(float64(limit))
+	if overload.shares.hasThinned(rank) {
+		excess = max(excess, float64(limit))
+	}
+	return float64(running) < float64(limit)+excess
 }
 
-// Attempt records the end of a sub-request, or a wait of a request for a target with free capacity: queue is the number of requests that
+// Attempt records the end of a sub-request at the service, or a wait of a request for a target with free capacity: queue is the number of requests that
 // wait at the target for each of its slots, and turnedAway whether the sub-request was refused or found no target. It returns the
 // decisions that follow from it.
-func (machine *Machine) Attempt(now time.Time, queue float64, turnedAway bool) []Decision {
-	machine.overload.adaptive.attempt(now, machine.running, queue, turnedAway)
+func (machine *Machine) Attempt(now time.Time, service string, queue float64, turnedAway bool) []Decision {
+	machine.overload.adaptive.attempt(now, machine.running, service, queue, turnedAway)
 	if machine.waiting() == 0 {
 		return nil
 	}
--- a/reel/admit/service_test.go
+++ b/reel/admit/service_test.go
@@ -134,7 +134,7 @@
 	evidence.Attempts++
 	if chosen.free == 0 && len(chosen.queue) >= 4*chosen.size {
 		evidence.Refused++
-		service.decide(machine.Attempt(service.now, 1, true))
+		service.decide(machine.Attempt(service.now, "s", 1, true))
 		if evidence.Refused < 3 && service.now.Sub(arrived) < goal {
 			service.after(time.Millisecond, func() { service.attempt(machine, kind, arrived, evidence) })
 			return
@@ -151,7 +151,7 @@
 			if queue >= 1 {
 				evidence.Queued++
 			}
-			service.decide(machine.Attempt(service.now, queue, false))
+			service.decide(machine.Attempt(service.now, "s", queue, false))
 			service.end(machine, kind, arrived, evidence, false)
 		})
 	}
--- a/reel/admit/shares.go
+++ b/reel/admit/shares.go
@@ -65,6 +65,11 @@
 	return nil
 }
 
+// hasThinned reports whether a class of a lower rank gets less than its demand.
+func (shares *shares) hasThinned(rank int) bool {
+	return slices.ContainsFunc(shares.classes, func(class *class) bool { return class.rank > rank && class.share < 1 })
+}
+
 // update computes the shares of the rate, a function of the time elapsed, once in a period.
 func (shares *shares) update(now time.Time, rateAfter func(elapsed time.Duration) float64) {
 	elapsed := now.Sub(shares.updatedAt)
--- a/shallotreel/ingress/group.go
+++ b/shallotreel/ingress/group.go
@@ -203,8 +203,8 @@
 	}
 }
 
-func (group *group) attempt(now time.Time, queue float64, turnedAway bool) {
+func (group *group) attempt(now time.Time, service string, queue float64, turnedAway bool) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
-	group.notify(group.machine.Attempt(now, queue, turnedAway))
+	group.notify(group.machine.Attempt(now, service, queue, turnedAway))
 }
--- a/shallotreel/ingress/ticket.go
+++ b/shallotreel/ingress/ticket.go
@@ -55,7 +55,7 @@
 	case queue >= queuedShare:
 		ticket.queued.Add(1)
 	}
-	ticket.group.attempt(now, queue, turnedAway)
+	ticket.group.attempt(now, service, queue, turnedAway)
 }
 
 // noRoomAt records that no target of the service had free capacity.
@@ -65,7 +65,7 @@
 	}
 	ticket.attempts.Add(1)
 	ticket.noRoom.Add(1)
-	ticket.group.attempt(now, 1, true)
+	ticket.group.attempt(now, service, 1, true)
 }
 
 // setLoaded records that the service showed load; it returns false if that was known.
