--- a/shallotreel/front/link_test.go
+++ b/shallotreel/front/link_test.go
@@ -116,22 +116,17 @@
 			conn.Close()
 		}
 	case linkRefusing:
+		link.bind(t)
 	}
 	link.resume.Broadcast()
 }
 
 // block listens without room for new connections, so that they wait.
 func (link *link) block(t *testing.T) {
-	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		t.Errorf("block the link: %v", err)
+	socket, ok := link.bind(t)
+	if !ok {
 		return
 	}
-	_ = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1) // shows at bind
-	address := &syscall.SockaddrInet4{Port: int(link.address.Port()), Addr: link.address.Addr().As4()}
-	if err := syscall.Bind(socket, address); err != nil {
-		t.Errorf("block the link: %v", err)
-	}
 	if err := syscall.Listen(socket, 0); err != nil {
 		t.Errorf("block the link: %v", err)
 	}
@@ -140,7 +135,25 @@
 		t.Errorf("block the link: %v", err)
 		return
 	}
-	link.blocked = append(link.blocked, func() { filler.Close() }, func() { _ = syscall.Close(socket) })
+	link.blocked = append(link.blocked, func() { filler.Close() })
+}
+
+// bind binds a socket that does not listen to the address, until the next change of the state. It keeps the port from being given to
+// an outgoing connection of another process meanwhile; connections to it are refused.
+func (link *link) bind(t *testing.T) (socket int, ok bool) {
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Errorf("bind the link: %v", err)
+		return 0, false
+	}
+	link.blocked = append(link.blocked, func() { _ = syscall.Close(socket) })
+	_ = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1) // shows at bind
+	address := &syscall.SockaddrInet4{Port: int(link.address.Port()), Addr: link.address.Addr().As4()}
+	if err := syscall.Bind(socket, address); err != nil {
+		t.Errorf("bind the link: %v", err)
+		return 0, false
+	}
+	return socket, true
 }
 
 func (link *link) close() {
