--- a/reel/admit/adaptive.go
+++ b/reel/admit/adaptive.go
@@ -9,25 +9,25 @@
 const noLimit = 1 << 30
 
 const (
-	minPeriod         = 20 * time.Millisecond  // least reaction time
-	maxPeriod         = 250 * time.Millisecond // greatest reaction time
-	minEvidence       = 3                      // overloaded requests, or refused attempts, that start a limit
-	overloadedShare   = 0.2                    // share of the ended requests that is overloaded from which a limit starts or shrinks
-	turnedAwayShare   = 0.5                    // share of the attempts that found no room from which a limit starts
-	pressureSetpoint  = 0.6                    // pressure at which the limit is constant
-	recoverySetpoint  = 0.25                   // pressure up to which the limit grows fast or is removed
-	maxDecrease       = 0.6                    // greatest decrease within one reaction time, as a factor
-	increaseStep      = 0.4                    // growth of the limit within one reaction time, as a multiple of its square root
-	idleFactor        = 0.5                    // greatest growth in the same time while requests are refused although the targets have no queues
-	recoveryFactor    = 1.5                    // growth in the same time while nothing is refused
-	minLimit          = 1.0                    // requests; keeps probing
-	minRemovalTime    = 250 * time.Millisecond // without a refusal, after which the limit is removed
-	minRecoveryTime   = 60 * time.Millisecond  // without a refusal, after which the limit grows fast
-	idleTime          = time.Second            // without evidence, after which the limit is removed
-	limitMemory       = 10 * time.Second       // for which a removed limit is remembered
-	minAttempts       = 8                      // that a reaction time has at least, unless it is the greatest one
-	rateTime          = 500 * time.Millisecond // averages the time in flight from which the admitted rate is computed
-	rateSlack         = 1.1                    // by which that rate exceeds the limit, so that some requests wait when one ends
+	minPeriod        = 20 * time.Millisecond  // least reaction time
+	maxPeriod        = 250 * time.Millisecond // greatest reaction time
+	minEvidence      = 3                      // overloaded requests, or refused attempts, that start a limit
+	overloadedShare  = 0.2                    // share of the ended requests that is overloaded from which a limit starts or shrinks
+	turnedAwayShare  = 0.5                    // share of the attempts that found no room from which a limit starts
+	pressureSetpoint = 0.6                    // pressure at which the limit is constant
+	recoverySetpoint = 0.25                   // pressure up to which the limit grows fast or is removed
+	maxDecrease      = 0.6                    // greatest decrease within one reaction time, as a factor
+	increaseStep     = 0.4                    // growth of the limit within one reaction time, as a multiple of its square root
+	noQueueFactor    = 0.5                    // greatest growth in the same time at no pressure, as a part of the limit
+	recoveryFactor   = 1.5                    // growth in the same time while nothing is refused
+	minLimit         = 1.0                    // requests, so that the state of the targets is still observed
+	minRemovalTime   = 250 * time.Millisecond // without a refusal, after which the limit is removed
+	minRecoveryTime  = 60 * time.Millisecond  // without a refusal, after which the limit grows fast
+	idleTime         = time.Second            // without evidence, after which the limit is removed
+	limitMemory      = 10 * time.Second       // for which a removed limit is remembered
+	minAttempts      = 8                      // least number of attempts in a reaction time below maxPeriod
+	rateTime         = 500 * time.Millisecond // time constant of the averages from which the admitted rate is computed
+	rateSlack        = 1.1                    // factor on that rate, so that some requests wait when one ends
 )
 
 // adaptive limits the concurrent requests while there is evidence of overload. Within one reaction time, the latency of the
@@ -42,20 +42,20 @@
 	signal      Signal // newest evidence
 	signalAt    time.Time
 	refusedAt   time.Time
-	averageRate float64       // requests a second that the limit allows, over rateTime; 0 without a limit
-	averageTime time.Duration // the same over rateTime
+	averageRate float64       // average over rateTime of the requests a second that the limit allows; 0 without a limit
+	averageTime time.Duration // average of heldTime over rateTime
 	heldTime    time.Duration // EWMA of the time for which requests are in flight
 }
 
 // periodCounts is the evidence of one reaction time.
 type periodCounts struct {
-	attempts   int
-	turnedAway int // attempts refused by targets, and waits for a target with free capacity
-	pressures  pressures
-	ended      int
-	overloaded int
-	refused    int // requests
-	peak       int // greatest number of requests in flight
+	attempts     int
+	turnedAway   int // attempts refused by targets, and waits for a target with free capacity
+	serviceLoads serviceLoads
+	ended        int
+	overloaded   int
+	refused      int // requests
+	peak         int // greatest number of requests in flight
 }
 
 func (adaptive *adaptive) limit() int {
@@ -69,10 +69,10 @@
 // at least 1 if it was turned away.
 func (adaptive *adaptive) attempt(now time.Time, running int, service string, queue float64, turnedAway bool) {
 	adaptive.counts.attempts++
-	if adaptive.counts.pressures == nil {
-		adaptive.counts.pressures = pressures{}
+	if adaptive.counts.serviceLoads == nil {
+		adaptive.counts.serviceLoads = serviceLoads{}
 	}
-	adaptive.counts.pressures.add(service, min(queue, 1))
+	adaptive.counts.serviceLoads.add(service, min(queue, 1))
 	if turnedAway {
 		adaptive.counts.turnedAway++
 	}
@@ -125,7 +125,7 @@
 
 // showPressure reports whether the pressure exceeds its setpoint, over sufficient attempts.
 func (counts *periodCounts) showPressure() bool {
-	return counts.attempts >= minAttempts && counts.pressures.median() > pressureSetpoint
+	return counts.attempts >= minAttempts && counts.serviceLoads.median() > pressureSetpoint
 }
 
 // expire removes the limit after a time without traffic, in which it has become outdated.
@@ -144,11 +144,12 @@
 	if counts.overloaded < minEvidence && counts.turnedAway < minEvidence {
 		return false
 	}
-	pressure := counts.pressures.median()
+	pressure := counts.serviceLoads.median()
 	if counts.isOverloaded(pressure) && counts.overloaded >= minEvidence {
 		return true
 	}
-	return counts.turnedAway >= minEvidence && float64(counts.turnedAway) >= turnedAwayShare*float64(counts.attempts) && pressure >= turnedAwayShare
+	return counts.turnedAway >= minEvidence && pressure >= turnedAwayShare &&
+		float64(counts.turnedAway) >= turnedAwayShare*float64(counts.attempts)
 }
 
 // isOverloaded reports whether enough of the ended requests were overloaded, at a pressure that shows that their number is the cause.
@@ -169,7 +170,7 @@
 // adjust changes the limit at the end of a period.
 func (adaptive *adaptive) adjust(now time.Time) {
 	counts := adaptive.counts
-	pressure := counts.pressures.median()
+	pressure := counts.serviceLoads.median()
 	switch {
 	case counts.isOverloaded(pressure):
 		adaptive.value *= maxDecrease
@@ -186,7 +187,7 @@
 		adaptive.value *= recoveryFactor
 	default:
 		idle := max(0, 1-pressure/recoverySetpoint)
-		adaptive.value += max(increaseStep*math.Sqrt(adaptive.value), idleFactor*idle*adaptive.value)
+		adaptive.value += max(increaseStep*math.Sqrt(adaptive.value), noQueueFactor*idle*adaptive.value)
 	}
 	adaptive.value = max(adaptive.value, minLimit)
 }
--- a/reel/admit/admit.go
+++ b/reel/admit/admit.go
@@ -74,7 +74,7 @@
 	if remaining <= 0 {
 		return []Decision{{request.ID, result.TooLate, 0, "deadline passed"}}
 	}
-	if refusal, refused := machine.screen(now, request); refused {
+	if refusal, refused := machine.refuseAtOnce(now, request); refused {
 		return []Decision{refusal}
 	}
 	if machine.hasRoom(request) && machine.waitingAhead(request) == 0 {
--- a/reel/admit/overload.go
+++ b/reel/admit/overload.go
@@ -23,19 +23,19 @@
 type overload struct {
 	adaptive *adaptive
 	shares   shares
-	returns  returns
+	retries  retries
 }
 
 // NewAdaptive returns a machine without a limit, which gets one when there is evidence of overload.
 func NewAdaptive(random *rand.Rand) *Machine {
 	limit := &adaptive{heldTime: initialServiceTime}
 	return &Machine{control: limit, serviceTime: initialServiceTime, queuePerSlot: adaptivePerSlot,
-		overload: &overload{adaptive: limit, returns: returns{due: map[string]time.Time{}, random: random}}}
+		overload: &overload{adaptive: limit, retries: retries{due: map[string]time.Time{}, random: random}}}
 }
 
-// screen refuses a request that is not to wait: the caller returns too early, the share of its class is used up, or its time does not
+// refuseAtOnce refuses a request that is not to wait: the caller retries too early, the share of its class is used up, or its time does not
 // suffice.
-func (machine *Machine) screen(now time.Time, request Request) (Decision, bool) {
+func (machine *Machine) refuseAtOnce(now time.Time, request Request) (Decision, bool) {
 	overload := machine.overload
 	if overload == nil {
 		return Decision{}, false
@@ -43,11 +43,11 @@
 	overload.adaptive.expire(now)
 	overload.shares.update(now, overload.adaptive.rate)
 	class := overload.shares.classOf(now, request.Kind, rankOf(request))
-	earliness, left := isNew, time.Duration(0)
+	retryKind, left := notRetried, time.Duration(0)
 	if overload.adaptive.value > 0 && class.share < 1 {
-		earliness, left = overload.returns.compare(now, request.Key)
+		retryKind, left = overload.retries.compare(now, request.Key)
 	}
-	if earliness == isEarly {
+	if retryKind == retriedEarly {
 		return Decision{request.ID, result.Overloaded, left, reasonEarly}, true
 	}
 	class.arrivals++
@@ -56,15 +56,15 @@
 		return Decision{}, false
 	case now.Add(machine.serviceTime).After(request.Deadline):
 		return machine.refuse(now, request, reasonUsualTime), true
-	case !class.take(earliness == isReturning):
+	case !class.take(retryKind == retriedInTime):
 		return machine.refuse(now, request, reasonShare), true
 	}
 	return Decision{}, false
 }
 
-// mayExceed reports whether the request may start although the limit is reached: the demand of its class is within its share. Beside
-// classes of lower rank, which are thinned out in its favour, it never waits for them to end; otherwise the limit is exceeded only by
-// the chance of arrivals.
+// mayExceed reports whether the request may start although the limit is reached: the whole demand of its class
+// is within its share. While a class of a lower rank gets less than its demand, the limit does not apply, so that the request does
+// not wait for those of the lower rank to end. Otherwise the limit may be exceeded by the random variation of arrivals only.
 func (overload *overload) mayExceed(request Request, running, limit int) bool {
 	if overload == nil {
 		return false
@@ -74,12 +74,12 @@
 	if class == nil || class.share < 1 {
 		return false
 	}
-	return overload.shares.hasThinned(rank) || float64(running) < float64(limit)+overflowSpread*math.Sqrt(float64(limit))
+	return overload.shares.limitsLowerRank(rank) || float64(running) < float64(limit)+overflowSpread*math.Sqrt(float64(limit))
 }
 
-// Attempt records the end of a sub-request at the service, or a wait of a request for a target with free capacity: queue is the number of requests that
-// wait at the target for each of its slots, and turnedAway whether the sub-request was refused or found no target. It returns the
-// decisions that follow from it.
+// Attempt records the end of a sub-request at the service, or a wait of a request for a target with free capacity: queue is the
+// number of requests that wait at the target for each of its slots, and turnedAway whether the sub-request was refused or found
+// no target. It returns the decisions that follow from it.
 func (machine *Machine) Attempt(now time.Time, service string, queue float64, turnedAway bool) []Decision {
 	machine.overload.adaptive.attempt(now, machine.running, service, queue, turnedAway)
 	if machine.waiting() == 0 {
@@ -119,11 +119,11 @@
 
 func (overload *overload) noteStart(request Request) {
 	if overload != nil {
-		overload.returns.forget(request.Key)
+		overload.retries.forget(request.Key)
 	}
 }
 
 func (overload *overload) refuse(now time.Time, request Request) time.Duration {
 	overload.adaptive.noteRefusal(now)
-	return overload.returns.refuse(now, request.Key, overload.shares.classOf(now, request.Kind, rankOf(request)).share)
+	return overload.retries.refuse(now, request.Key, overload.shares.classOf(now, request.Kind, rankOf(request)).share)
 }
--- a/reel/admit/returns_test.go
+++ b/reel/admit/retries_test.go
@@ -9,28 +9,28 @@
 
 // TestReturns guards against callers that gain by repeating at once, that return together or that fall behind new ones.
 func TestReturns(t *testing.T) {
-	newReturns := func() *returns {
-		return &returns{due: map[string]time.Time{}, random: rand.New(rand.NewPCG(1, 2))}
+	newReturns := func() *retries {
+		return &retries{due: map[string]time.Time{}, random: rand.New(rand.NewPCG(1, 2))}
 	}
 	t.Run("too early, in time and too late", func(t *testing.T) {
-		returns := newReturns()
-		after := returns.refuse(start, "key", 0.5)
+		retries := newReturns()
+		after := retries.refuse(start, "key", 0.5)
 		for _, test := range []struct {
 			at   time.Duration
-			want earliness
-		}{{after / 2, isEarly}, {after, isReturning}, {after + returnTime, isNew}} {
-			if got, _ := returns.compare(start.Add(test.at), "key"); got != test.want {
+			want retryKind
+		}{{after / 2, retriedEarly}, {after, retriedInTime}, {after + retryWindow, notRetried}} {
+			if got, _ := retries.compare(start.Add(test.at), "key"); got != test.want {
 				t.Errorf("after %v of %v: %v, want %v", test.at, after, got, test.want)
 			}
 		}
 	})
 	t.Run("grows with the excess and is spread", func(t *testing.T) {
-		returns := newReturns()
+		retries := newReturns()
 		sums := map[float64]time.Duration{}
 		least, greatest := time.Hour, time.Duration(0)
 		for i := range 200 {
 			for _, share := range []float64{0.9, 0.2} {
-				after := returns.refuse(start, fmt.Sprint(i, share), share)
+				after := retries.refuse(start, fmt.Sprint(i, share), share)
 				sums[share] += after
 				if share == 0.2 {
 					least, greatest = min(least, after), max(greatest, after)
@@ -42,11 +42,11 @@
 		}
 	})
 	t.Run("keys that all callers share tell nothing", func(t *testing.T) {
-		returns := newReturns()
-		returns.refuse(start, "key", 0.01)
+		retries := newReturns()
+		retries.refuse(start, "key", 0.01)
 		early := 0
 		for range 1000 {
-			if got, _ := returns.compare(start, "key"); got == isEarly {
+			if got, _ := retries.compare(start, "key"); got == retriedEarly {
 				early++
 			}
 		}
--- a/reel/admit/shares.go
+++ b/reel/admit/shares.go
@@ -9,16 +9,16 @@
 
 const (
 	sharePeriod    = 50 * time.Millisecond  // between two computations of the shares
-	demandTime     = 200 * time.Millisecond // averages the recent demand
-	ordinaryTime   = 20 * time.Second       // averages the demand that weights the shares, while there is no limit
-	frozenFactor   = 20                     // times slower while there is a limit, so that a flood gains little weight
+	demandTime     = 200 * time.Millisecond // time constant of the recent demand
+	ordinaryTime   = 20 * time.Second       // time constant of the ordinary demand, which weights the shares, while there is no limit
+	frozenFactor   = 20                     // factor on ordinaryTime while there is a limit, so that a flood gains little weight
 	maxGrowth      = 2.0                    // greatest demand that counts as ordinary, as a multiple of the ordinary one before
 	settledPeriods = 10                     // after which an average counts as ordinary
-	minShare       = 0.65                   // share of its weight that each class keeps at least
-	maxRank        = 7                      // ranks above count as this one
+	minShare       = 0.65                   // part of its share by ordinary demand that each class keeps at least
+	maxRank        = 7                      // greatest rank; greater ones count as this one
 	classTTL       = time.Minute            // without requests, after which a class is deleted
 	minOrdinary    = 0.1                    // requests a second, so that the weight of a class is above 0
-	returnedDebt   = 2.0                    // requests by which callers that return may be ahead of their class
+	retryDebt      = 2.0                    // requests by which retries in time may exceed the share of their class
 	creditCap      = 1.0                    // requests that a class may save up
 )
 
@@ -65,8 +65,8 @@
 	return nil
 }
 
-// hasThinned reports whether a class of a lower rank gets less than its demand.
-func (shares *shares) hasThinned(rank int) bool {
+// limitsLowerRank reports whether a class of a lower rank gets less than its demand.
+func (shares *shares) limitsLowerRank(rank int) bool {
 	return slices.ContainsFunc(shares.classes, func(class *class) bool { return class.rank > rank && class.share < 1 })
 }
 
@@ -113,7 +113,7 @@
 	return 1 - math.Exp(-elapsed.Seconds()/over.Seconds())
 }
 
-// divide gives each class its minimum, and what is left to the classes by rank.
+// divide gives each class its minimum, and divides the rest by rank.
 func (shares *shares) divide(rate float64) {
 	total, demand := shares.ordinary(), 0.0
 	for _, class := range shares.classes {
@@ -197,7 +197,7 @@
 	return class.weight() + 2*math.Sqrt(class.weight()/(2*demandTime.Seconds()))
 }
 
-// take reports whether the share of the class allows a request now. One that returns as it was told may be ahead of others.
+// take reports whether the share of the class allows a request now. A retry in time may exceed the share by retryDebt requests.
 func (class *class) take(returned bool) bool {
 	if class.share >= 1 {
 		class.credit = 0
@@ -206,7 +206,7 @@
 	class.credit = min(class.credit+class.share, creditCap)
 	least := 1.0
 	if returned {
-		least -= returnedDebt
+		least -= retryDebt
 	}
 	if class.credit < least {
 		return false
--- a/reel/choice/choose.go
+++ b/reel/choice/choose.go
@@ -23,7 +23,8 @@
 //
 // A cold target for which no request of the rate is left is left out, like a full one. A target of a data centre that has just
 // returned to service is left out of most requests, unless no other one is usable.
-func (selector *Selector) Choose(now time.Time, route *catalogue.Route, candidates []catalogue.Target, service catalogue.Service, tried []string, hasCapacity func(catalogue.Target) bool) (Pick, bool) {
+func (selector *Selector) Choose(now time.Time, route *catalogue.Route, candidates []catalogue.Target, service catalogue.Service,
+	tried []string, hasCapacity func(catalogue.Target) bool) (Pick, bool) {
 	choice := choice{route: route, service: service, candidates: candidates, tried: tried, hasCapacity: hasCapacity}
 	best := selector.best(now, &choice)
 	if choice.returning && best.grade >= suspect {
@@ -139,7 +140,8 @@
 
 func (selector *Selector) grade(now time.Time, route *catalogue.Route, target catalogue.Target, targetHealth *targetHealth, limit int) grade {
 	switch {
-	case now.Sub(targetHealth.misdirectedAt) < misdirectedBackoff && targetHealth.misdirected.Address == target.Address && targetHealth.misdirected.Born == target.Born:
+	case now.Sub(targetHealth.misdirectedAt) < misdirectedBackoff &&
+		targetHealth.misdirected.Address == target.Address && targetHealth.misdirected.Born == target.Born:
 		return unusable
 	case targetHealth.isQuiet(now, target):
 		return unusable
--- a/reel/warmup/process.go
+++ b/reel/warmup/process.go
@@ -21,24 +21,24 @@
 
 // process is what is known of the process of a target.
 type process struct {
-	service    string
-	dataCentre string
-	born       int64
-	warmUp     time.Duration
-	rate       float64
-	registered time.Time // when the newest registration was read
-	coldUntil  time.Time // as reported
-	evidence   Evidence
-	evidenceAt time.Time // when the process last said whether it is cold
-	doubt      Evidence  // why the process may be cold, empty if it is known
-	doubtAt    time.Time // when the doubt arose
-	usedAt     time.Time // when the process was last considered for a request
-	sentAt     time.Time // when a request was last sent to it while it was cold
-	isCold     bool      // whether it was treated as cold at last
-	bucket     *quota.Bucket
-	part       float64
-	parted     uint64 // version of the senders by which the part was computed
-	heldSince  bool   // whether the part was computed while this instance may hold parts
+	service     string
+	dataCentre  string
+	born        int64
+	warmUp      time.Duration
+	rate        float64
+	registered  time.Time // when the newest registration was read
+	coldUntil   time.Time // as reported
+	evidence    Evidence
+	evidenceAt  time.Time // when the process last said whether it is cold
+	suspicion   Evidence  // why the process may be cold, empty if its state is known
+	suspectedAt time.Time // when the suspicion arose
+	usedAt      time.Time // when the process was last considered for a request
+	sentAt      time.Time // when a request was last sent to it while it was cold
+	isCold      bool      // whether it was treated as cold when last considered
+	bucket      *quota.Bucket
+	part        float64
+	partVersion uint64 // version of the senders by which the part was computed
+	partMayHold bool   // whether the part was computed while this instance may hold parts
 }
 
 // report records that the process said, at a moment and by the evidence, for how long it is still cold.
@@ -51,29 +51,30 @@
 	if left > 0 {
 		process.coldUntil = at.Add(left)
 	}
-	process.endDoubt(at)
+	process.endSuspicion(at)
 }
 
-// endDoubt ends a doubt that arose before the moment.
-func (process *process) endDoubt(at time.Time) {
-	if at.After(process.doubtAt) {
-		process.doubt = ""
+// endSuspicion ends a suspicion that arose before the moment.
+func (process *process) endSuspicion(at time.Time) {
+	if at.After(process.suspectedAt) {
+		process.suspicion = ""
 	}
 }
 
-// raiseDoubt records that the process may be cold since the moment, unless it said more recently whether it is.
-func (process *process) raiseDoubt(at time.Time, reason Evidence) {
-	if at.After(process.evidenceAt) && at.After(process.doubtAt) {
-		process.doubt, process.doubtAt = reason, at
+// suspect records that the process may be cold since the moment, unless it said more recently whether it is.
+func (process *process) suspect(at time.Time, reason Evidence) {
+	if at.After(process.evidenceAt) && at.After(process.suspectedAt) {
+		process.suspicion, process.suspectedAt = reason, at
 	}
 }
 
-// coldEnd returns until when the process is treated as cold without further evidence. A doubt lasts as long as the warm-up.
+// coldEnd returns until when the process is treated as cold without further evidence. A suspicion lasts for the warm-up
+// and suspicionMargin.
 func (process *process) coldEnd() time.Time {
 	end := process.coldUntil
-	if process.doubt != "" {
-		if doubted := process.doubtAt.Add(process.warmUp + doubtMargin); doubted.After(end) {
-			return doubted
+	if process.suspicion != "" {
+		if suspectedEnd := process.suspectedAt.Add(process.warmUp + suspicionMargin); suspectedEnd.After(end) {
+			return suspectedEnd
 		}
 	}
 	return end
@@ -81,14 +82,14 @@
 
 // reason returns the evidence by which the process is cold at now, and when it was got.
 func (process *process) reason(now time.Time) (Evidence, time.Time) {
-	if now.Before(process.coldUntil) || process.doubt == "" {
+	if now.Before(process.coldUntil) || process.suspicion == "" {
 		return process.evidence, process.evidenceAt
 	}
-	return process.doubt, process.doubtAt
+	return process.suspicion, process.suspectedAt
 }
 
 // warmth returns how far the warm-up has got at now, from leastWarmth to 1.
 func (process *process) warmth(now time.Time) float64 {
 	left := process.coldEnd().Sub(now)
-	return max(leastWarmth, 1-left.Seconds()/(process.warmUp+doubtMargin).Seconds())
+	return max(leastWarmth, 1-left.Seconds()/(process.warmUp+suspicionMargin).Seconds())
 }
--- a/reel/warmup/senders.go
+++ b/reel/warmup/senders.go
@@ -12,12 +12,12 @@
 	// spreadTime is the time within which the instances learn of a change of the members. An instance that is new to them, or
 	// that begins to serve callers, holds no part of any rate before.
 	spreadTime = 3 * time.Second
-	// lostRetention is the time for which a lost instance keeps its part: it may run and send, cut off from this one.
+	// lostRetention is the time for which a lost instance keeps its part, since it may still run and send behind a partition.
 	lostRetention = 10 * time.Minute
-	// maxStrangers is the number of lost instances in the data centre that may not know this one, up to which it holds parts. Each
-	// of them may use one that this instance holds, too.
-	maxStrangers = 1
-	// leavingRetention is that time for an instance that was leaving when it was lost, and will have ended by then.
+	// maxUnaware is the greatest number of lost instances in the data centre that may not know this one, at which it still holds
+	// parts. Each of them may use a part that this instance holds, too.
+	maxUnaware = 1
+	// leavingRetention is the lostRetention for an instance that was leaving when it was lost, and will have ended by then.
 	leavingRetention = time.Minute
 )
 
@@ -38,7 +38,7 @@
 	divided   *quota.Division
 	counted   []quota.Sender
 	dividedAt time.Time
-	strangers int    // lost instances in the own data centre that may not know this one
+	unaware   int    // lost instances in the own data centre that may not know this one
 	version   uint64 // increases when the division may have changed
 }
 
@@ -111,13 +111,13 @@
 // divide computes the division between the senders that count.
 func (senders *Senders) divide(now time.Time) {
 	var counted []quota.Sender
-	senders.strangers = 0
+	senders.unaware = 0
 	for name, sender := range senders.known {
 		if sender.isOver(now) {
 			continue
 		}
-		if senders.isStranger(sender) {
-			senders.strangers++
+		if senders.mayNotKnowSelf(sender) {
+			senders.unaware++
 		}
 		counted = append(counted, quota.Sender{Name: name, DataCentre: sender.DataCentre, Idle: sender.isIdle(now)})
 	}
@@ -130,8 +130,8 @@
 	senders.version++
 }
 
-// isStranger reports whether the sender was lost before it certainly knew this instance, whose part it does not count.
-func (senders *Senders) isStranger(sender *sender) bool {
+// mayNotKnowSelf reports whether the sender was lost before it certainly knew this instance. Its division may then lack this instance.
+func (senders *Senders) mayNotKnowSelf(sender *sender) bool {
 	return sender.DataCentre == senders.self.DataCentre && !sender.Leaving && !sender.lostAt.IsZero() &&
 		(senders.readyAt.IsZero() || sender.lostAt.Before(senders.readyAt.Add(spreadTime)))
 }
@@ -161,7 +161,10 @@
 // mayHold reports whether the other instances know that this one may hold a part of a rate.
 func (senders *Senders) mayHold(now time.Time) bool {
 	self, ok := senders.known[senders.self.Name]
-	return ok && !self.Idle && senders.strangers <= maxStrangers && !senders.readyAt.IsZero() && now.Sub(senders.readyAt) >= spreadTime && now.Sub(self.since) >= spreadTime
+	if !ok || self.Idle || senders.unaware > maxUnaware || senders.readyAt.IsZero() {
+		return false
+	}
+	return now.Sub(senders.readyAt) >= spreadTime && now.Sub(self.since) >= spreadTime
 }
 
 // part returns this instance's part of the rate of the target in requests a second.
--- a/reel/warmup/warmup.go
+++ b/reel/warmup/warmup.go
@@ -13,9 +13,9 @@
 const (
 	// defaultWarmUp is the warm-up of services that configure none.
 	defaultWarmUp = 3 * time.Second
-	// doubtMargin is added to the warm-up of a target that may be cold, which learned of its return or has restarted a little
+	// suspicionMargin is added to the warm-up of a target that may be cold, which learned of its return or has restarted a little
 	// later than this instance noticed.
-	doubtMargin = time.Second
+	suspicionMargin = time.Second
 	// leastWarmth is the share of its usual load that a target gets at the beginning of its warm-up.
 	leastWarmth = 0.1
 	// returnSteps is the number of steps in which the load of a returned data centre rises.
@@ -128,7 +128,7 @@
 // was only presumed to be cold is not, but does not end a period that the target has reported.
 func (tracker *Tracker) ReportNothing(target catalogue.Target, sentAt time.Time) {
 	if process, ok := tracker.processes[target.ID]; ok && process.born == target.Born {
-		process.endDoubt(sentAt)
+		process.endSuspicion(sentAt)
 	}
 }
 
@@ -141,7 +141,7 @@
 	case !ok || process.born != target.Born:
 		process = tracker.create(target)
 	}
-	process.raiseDoubt(now, Broken)
+	process.suspect(now, Broken)
 }
 
 // TakeChanges returns and clears the changes since the last call.
@@ -172,7 +172,7 @@
 	if !ok || known.born != target.Born {
 		known = tracker.create(target)
 		if target.ColdAt.IsZero() {
-			known.raiseDoubt(now, Started)
+			known.suspect(now, Started)
 		}
 	}
 	known.usedAt, known.warmUp, known.rate, known.service = now, warmUp, service.ColdRate, target.Service
@@ -181,7 +181,7 @@
 		known.report(earlier(now, target.ColdAt), target.ColdLeft, Registered)
 	}
 	if !returnedAt.IsZero() {
-		known.raiseDoubt(returnedAt, Returned)
+		known.suspect(returnedAt, Returned)
 	}
 	return known
 }
@@ -190,12 +190,12 @@
 // centre. Without a report of the target the start of its process tells.
 func mayBeCold(now time.Time, target catalogue.Target, warmUp time.Duration, returnedAt time.Time) bool {
 	switch {
-	case !returnedAt.IsZero() && now.Sub(returnedAt) < warmUp+doubtMargin:
+	case !returnedAt.IsZero() && now.Sub(returnedAt) < warmUp+suspicionMargin:
 		return true
 	case !target.ColdAt.IsZero():
 		return target.ColdUntil().After(now)
 	}
-	return target.Born > 0 && now.Sub(time.UnixMilli(target.Born)) < warmUp+doubtMargin
+	return target.Born > 0 && now.Sub(time.UnixMilli(target.Born)) < warmUp+suspicionMargin
 }
 
 // create returns the state of the target's process, and keeps what an earlier process was sent.
@@ -217,7 +217,7 @@
 	}
 	process.isCold = cold
 	evidence, at := process.reason(now)
-	if !cold && (process.doubt != "" || !process.coldUntil.IsZero()) {
+	if !cold && (process.suspicion != "" || !process.coldUntil.IsZero()) {
 		evidence = Elapsed
 	}
 	if cold {
@@ -248,7 +248,7 @@
 	}
 	tracker.senders.refresh(now)
 	mayHold := tracker.senders.mayHold(now)
-	if process.bucket != nil && process.parted == tracker.senders.version && process.heldSince == mayHold {
+	if process.bucket != nil && process.partVersion == tracker.senders.version && process.partMayHold == mayHold {
 		return
 	}
 	if process.bucket == nil {
@@ -257,7 +257,7 @@
 			process.bucket = quota.NewStrictBucket(0)
 		}
 	}
-	process.parted, process.heldSince = tracker.senders.version, mayHold
+	process.partVersion, process.partMayHold = tracker.senders.version, mayHold
 	process.part = tracker.senders.part(now, process.rate, target, process.dataCentre)
 	process.bucket.SetPart(now, quota.PartOf(process.part))
 }
--- a/shallotreel/feed/evacuation.go
+++ b/shallotreel/feed/evacuation.go
@@ -82,7 +82,8 @@
 	before := old.EvacuatedServices()
 	for _, service := range current.EvacuatedServices() {
 		if !slices.Contains(before, service) {
-			feed.log.WithFields(logrus.Fields{"service": service, "serial": current.Serial}).Warn("service has no target outside the evacuated data centres; its requests are refused")
+			feed.log.WithFields(logrus.Fields{"service": service, "serial": current.Serial}).
+				Warn("service has no target outside the evacuated data centres; its requests are refused")
 		}
 	}
 }
--- a/shallotreel/ingress/group.go
+++ b/shallotreel/ingress/group.go
@@ -26,8 +26,8 @@
 	waiting     map[admit.ID]chan admit.Decision
 	ranks       map[int]*rankCounts
 	limitGauge  tally.Gauge
-	isOver      bool // whether the group is known to refuse requests
-	metricNames map[string]*routeMetrics
+	wasRefusing bool // whether the group refused requests when noteChange was called last
+	routes      map[string]*routeMetrics
 }
 
 // rankCounts counts the requests of one rank since the start of the group.
@@ -49,7 +49,7 @@
 func newGroup(services []string, random *rand.Rand, admission *Admission) *group {
 	tags := map[string]string{"group": services[0], "services": strconv.Itoa(len(services))}
 	return &group{services: services, admission: admission, machine: admit.NewAdaptive(random), waiting: map[admit.ID]chan admit.Decision{},
-		ranks: map[int]*rankCounts{}, limitGauge: admission.scope.Tagged(tags).Gauge("admission_limit"), metricNames: map[string]*routeMetrics{}}
+		ranks: map[int]*rankCounts{}, limitGauge: admission.scope.Tagged(tags).Gauge("admission_limit"), routes: map[string]*routeMetrics{}}
 }
 
 // acquire waits until the request may start, is refused, or ctx is done. After a decision with the code OK, the caller must call
@@ -162,11 +162,11 @@
 }
 
 func (group *group) metrics(route *catalogue.Route) *routeMetrics {
-	metrics, ok := group.metricNames[route.Name]
+	metrics, ok := group.routes[route.Name]
 	if !ok {
 		scope := group.admission.scope.Tagged(map[string]string{"route": route.Name, "rank": strconv.Itoa(route.Priority)})
 		metrics = &routeMetrics{scope: scope, admitted: scope.Counter("requests_admitted"), inFlight: scope.Gauge("requests_in_flight")}
-		group.metricNames[route.Name] = metrics
+		group.routes[route.Name] = metrics
 	}
 	return metrics
 }
@@ -174,10 +174,10 @@
 // noteChange writes a log line when the group begins or ends to refuse requests.
 func (group *group) noteChange(now time.Time) {
 	state := group.machine.State(now)
-	if state.Refusing == group.isOver {
+	if state.Refusing == group.wasRefusing {
 		return
 	}
-	group.isOver = state.Refusing
+	group.wasRefusing = state.Refusing
 	running, waiting, _ := group.machine.Load()
 	message := "group refuses requests"
 	if !state.Refusing {
@@ -198,7 +198,7 @@
 	defer group.mutex.Unlock()
 	group.noteChange(now)
 	group.limitGauge.Update(float64(group.machine.State(now).Limit))
-	for _, metrics := range group.metricNames {
+	for _, metrics := range group.routes {
 		metrics.inFlight.Update(float64(metrics.running))
 	}
 }
--- a/shallotreel/ingress/handler.go
+++ b/shallotreel/ingress/handler.go
@@ -89,7 +89,8 @@
 }
 
 // New returns a handler that takes its view of routes and targets from the catalogue.
-func New(catalogue Registry, router *Router, pool *connpool.Pool, crashes *crashwatch.Watch, path *reachwatch.Watch, helpers Helpers, recorder Recorder, options ...Option) *Handler {
+func New(catalogue Registry, router *Router, pool *connpool.Pool, crashes *crashwatch.Watch, path *reachwatch.Watch,
+	helpers Helpers, recorder Recorder, options ...Option) *Handler {
 	handler := &Handler{catalogue: catalogue, router: router, pool: pool, crashes: crashes, path: path, helpers: helpers, recorder: recorder,
 		admission: silentAdmission()}
 	for _, option := range options {
--- a/shallotreel/ingress/ticket.go
+++ b/shallotreel/ingress/ticket.go
@@ -11,7 +11,7 @@
 	"shallotreel.example/reel/query"
 )
 
-// queuedShare is the queue relative to the slots of a target from which its answer counts as queued.
+// queuedShare is the least number of waiting requests for each slot of a target at which its answer counts as queued.
 const queuedShare = 0.5
 
 // ticket is the admission of one request. Its counters may be changed by any goroutine.
