Admission: requests that end without having met a target do not shorten the time in flight

Cause: found by the newcomer's read: a start that was withdrawn, and a neutral failure that ended at once, counted as a request that was in flight for no time, which raises the rate that the limit admits. Change: neutral ends do not count.

--- a/reel/admit/overload.go
+++ b/reel/admit/overload.go
@@ -91,7 +91,9 @@
 // End records the end of a started request that was in flight for the time held, and returns the decisions that follow from it.
 func (machine *Machine) End(now time.Time, held time.Duration, signal Signal) []Decision {
 	adaptive := machine.overload.adaptive
-	adaptive.heldTime += time.Duration(heldTimeGain * float64(held-adaptive.heldTime))
+	if signal != Neutral { // a start that was withdrawn, or a failure that ended early, says nothing of the time in flight
+		adaptive.heldTime += time.Duration(heldTimeGain * float64(held-adaptive.heldTime))
+	}
 	if signal == Overloaded || signal == Neutral {
 		held = 0 // says nothing of the usual latency
 	}
--- a/reel/admit/overload_test.go
+++ b/reel/admit/overload_test.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -184,3 +185,17 @@
 		})
 	}
 }
+
+// TestNeutralEnds guards against a limit that admits ever more because requests ended without having met a target: their callers left
+// before the first sub-request, or no target accepted a connection.
+func TestNeutralEnds(t *testing.T) {
+	machine := NewAdaptive(rand.New(rand.NewPCG(1, 2)))
+	before := machine.overload.adaptive.heldTime
+	for id := range ID(50) {
+		machine.Offer(start, Request{ID: id, Kind: "a", Weight: 1, Deadline: start.Add(time.Second)})
+		machine.End(start, 0, Neutral)
+	}
+	if after := machine.overload.adaptive.heldTime; after != before {
+		t.Errorf("the time in flight fell from %v to %v", before, after)
+	}
+}
