--- /dev/null
+++ b/review/harness/stubs.go
@@ -0,0 +1,4 @@
+package main
+
+func budgetOfLoneInstances() bool { return false }
+func leavingAfterHandOver() bool  { return false }
