--- a/review/harness/drain.go
+++ b/review/harness/drain.go
@@ -17,12 +17,12 @@
 	ledger := &ledger{}
 	var targets []*target
 	for i := range 6 {
-		target := &target{id: fmt.Sprintf("i-%02d", i), service: "jobs", zone: "zone-a", slots: 3, queue: 12, work: 50 * time.Millisecond, ledger: ledger}
+		target := &target{id: fmt.Sprintf("i-%02d", i), service: "jobs", zone: "zone-a", slots: 3, queue: 12, work: 200 * time.Millisecond, ledger: ledger}
 		target.start()
 		targets = append(targets, target)
 		store.put("servers/"+target.id, target.registration("ready", 1))
 	}
-	store.put("op/config", jobConfiguration(7, "jobs", "idempotent", 2))
+	store.put("op/config", jobConfiguration(7, "jobs", "non_idempotent", 1))
 	address := view{store, nil}.serve()
 	pathOfReader := newProxy(address)
 	fronts := []*front{newFront("front-zone-a-1", "zone-a", pathOfReader.address), newFront("front-zone-a-2", "zone-a", address),
@@ -41,7 +41,7 @@
 	next := 0
 	go every(60, end, func() {
 		next++
-		callers.send(fronts[1+next%2], http.MethodGet, jobHost, "/job/", 3*time.Second, nil)
+		callers.send(fronts[1+next%2], http.MethodPost, jobHost, "/job/", 3*time.Second, []byte("one licence"))
 	})
 	time.Sleep(3 * time.Second)
 	last := targets[len(targets)-1]
@@ -60,6 +60,10 @@
 	for _, target := range targets[:removals] {
 		gone[target.id] = store.remove("servers/" + target.id)
 		note(gone[target.id], "registration of %s ended; it serves on", target.id)
+		time.AfterFunc(drainTime+4*time.Second, func() {
+			note(time.Now(), "%s exits", target.id)
+			target.server.Close()
+		})
 	}
 	if trouble {
 		time.Sleep(500 * time.Millisecond)
@@ -95,7 +99,25 @@
 				arrival.id, results[arrival.id].front, results[arrival.id].at.Sub(begun).Seconds(), arrival.server, arrival.at.Sub(at).Seconds())
 		}
 	}
+	lost := 0
+	for id, result := range results {
+		if result.status != http.StatusOK && ranOn(arrivals, id, gone) {
+			lost++
+			note(result.at.Add(result.took), "request %s, which such a server had begun to run, ends with %d %s", id, result.status, result.err)
+		}
+	}
+	say("%d requests that these servers had begun to run were lost with them", lost)
 	say("%d requests sent; newest arrival %.3f s after the end of a registration; %d arrivals later than %.0f s", len(results), latest.Seconds(), late,
 		drainTime.Seconds())
 	return late > 0
 }
+
+// ranOn reports whether one of the servers has begun to run the request.
+func ranOn(arrivals []arrival, id string, servers map[string]time.Time) bool {
+	for _, arrival := range arrivals {
+		if _, isGone := servers[arrival.server]; isGone && arrival.ran && arrival.id == id {
+			return true
+		}
+	}
+	return false
+}
--- a/review/harness/proxy.go
+++ b/review/harness/proxy.go
@@ -1,18 +1,25 @@
 package main
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 )
 
+// owners holds the name of the instance behind each connection of a proxy to a server.
+var owners sync.Map
+
 // proxy stands between one instance and one server. While it is cut, open connections are reset and new ones are refused.
 type proxy struct {
 	to       string
+	owner    string // name of the instance
 	address  string
 	mutex    sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]bool
+	isCut    bool
 }
 
 func newProxy(to string) *proxy {
@@ -46,12 +53,15 @@
 		conn.Close()
 		return
 	}
+	owners.Store(server.LocalAddr().String(), proxy.owner)
 	proxy.mutex.Lock()
 	proxy.conns[conn], proxy.conns[server] = true, true
 	proxy.mutex.Unlock()
 	done := make(chan struct{}, 2)
 	copyTo := func(to, from net.Conn) {
-		_, _ = io.Copy(to, from)
+		if _, err := io.Copy(to, from); errors.Is(err, syscall.ECONNRESET) {
+			abort(to)
+		}
 		done <- struct{}{}
 	}
 	go copyTo(server, conn)
@@ -66,8 +76,17 @@
 	proxy.mutex.Unlock()
 }
 
+// abort closes the connection with a reset.
+func abort(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	conn.Close()
+}
+
 // cut resets the open connections and refuses new ones.
 func (proxy *proxy) cut() {
+	proxy.isCut = true
 	proxy.listener.Close()
 	proxy.reset()
 }
@@ -77,12 +96,18 @@
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
 	for conn := range proxy.conns {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		conn.Close()
+		abort(conn)
+	}
+}
+
+func (proxy *proxy) healIfCut() {
+	if proxy.isCut {
+		proxy.heal()
 	}
 }
 
 // heal accepts connections again at the same address.
-func (proxy *proxy) heal() { proxy.listen(proxy.address) }
+func (proxy *proxy) heal() {
+	proxy.isCut = false
+	proxy.listen(proxy.address)
+}
--- a/review/harness/target.go
+++ b/review/harness/target.go
@@ -17,6 +17,7 @@
 	server string
 	ran    bool // whether the server has begun to work on it
 	method string
+	from   string // name of the instance, if a proxy stands between
 }
 
 // ledger collects the arrivals at all servers.
@@ -117,6 +118,9 @@
 func (target *target) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get("Request-Id")
 	arrived := &arrival{at: time.Now(), id: id, server: target.id, method: request.Method}
+	if owner, ok := owners.Load(request.RemoteAddr); ok {
+		arrived.from, _ = owner.(string)
+	}
 	target.ledger.add(arrived)
 	_, _ = io.Copy(io.Discard, request.Body)
 	header := writer.Header()
