--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
   echo "build first: the build line of deploy/system.toml, and review/build.sh"
   exit 2
 fi
-exec target/review/harness leaving review/3/record.txt
+exec target/review/harness drain review/3/record.txt
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -90,5 +90,6 @@
 var cases = map[string]func() bool{
 	"refused": refusedAfterRun,
 	"drain":   drainAfterLostReader,
+	"twice":   twiceAfterMove,
 	"leaving": leavingAfterHandOver,
 }
--- a/review/harness/proxy.go
+++ b/review/harness/proxy.go
@@ -19,7 +19,6 @@
 	mutex    sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]bool
-	isCut    bool
 }
 
 func newProxy(to string) *proxy {
@@ -86,7 +85,6 @@
 
 // cut resets the open connections and refuses new ones.
 func (proxy *proxy) cut() {
-	proxy.isCut = true
 	proxy.listener.Close()
 	proxy.reset()
 }
@@ -100,14 +98,5 @@
 	}
 }
 
-func (proxy *proxy) healIfCut() {
-	if proxy.isCut {
-		proxy.heal()
-	}
-}
-
 // heal accepts connections again at the same address.
-func (proxy *proxy) heal() {
-	proxy.isCut = false
-	proxy.listen(proxy.address)
-}
+func (proxy *proxy) heal() { proxy.listen(proxy.address) }
