--- a/review/harness/drain.go
+++ b/review/harness/drain.go
@@ -78,10 +78,12 @@
 	}
 	results := map[string]sent{}
 	time.Sleep(time.Until(end))
-	for _, result := range callers.results() {
+	answered, arrivals := callers.results(), ledger.all()
+	recordAll(answered, arrivals)
+	for _, result := range answered {
 		results[result.id] = result
 	}
-	return judgeDrain(results, ledger.all(), gone)
+	return judgeDrain(results, arrivals, gone)
 }
 
 // judgeDrain reports whether any request reached a server later than drainTime after its registration ended.
--- a/review/harness/leaving.go
+++ b/review/harness/leaving.go
@@ -62,7 +62,8 @@
 	note(time.Now(), "%s says in its answers that it leaves", leaver.id)
 	leaver.leave()
 	time.Sleep(time.Until(end))
-	results := callers.results()
+	results, arrivals := callers.results(), ledger.all()
+	recordAll(results, arrivals)
 	var passedOn time.Time
 	sentAt := map[string]time.Time{}
 	for _, result := range results {
@@ -76,7 +77,7 @@
 	if !passedOn.IsZero() {
 		note(passedOn, "%s has passed on an answer of %s with Server-Leaving", origin.name, leaver.id)
 	}
-	for _, arrival := range ledger.all() {
+	for _, arrival := range arrivals {
 		if passedOn.IsZero() || arrival.server != leaver.id || arrival.from != origin.name || sentAt[arrival.id].Sub(passedOn) <= drainTime {
 			continue
 		}
--- a/review/harness/refused.go
+++ b/review/harness/refused.go
@@ -107,6 +107,7 @@
 
 // judgeRefusals reports whether any request was answered 429, 503, 408 or 421 although a server has run it, and whether any ran twice.
 func judgeRefusals(results []sent, arrivals []arrival) bool {
+	recordAll(results, arrivals)
 	runs := map[string][]arrival{}
 	for _, arrival := range arrivals {
 		if arrival.ran {
