Hand-over: what was spent belongs to the request, not to a service's name

Cause: what was spent on a request was kept and looked up by the services of the configuration in force at each instance. After two hand-overs and a move of the route, the third instance knew of an attempt at a service that its route no longer names, counted none and sent the request again. The same belief stood in Machine.Spent, which told the next instance of the services of its own plan only, in relay.Client.Serve, which replaced what it knew by that, and in the type of the route, which each instance took from its own version.

Why this works: query.Spending is merged on each way and never looked up by service for a request to a single service.

--- a/reel/query/end.go
+++ b/reel/query/end.go
@@ -21,6 +21,9 @@
 // because too many of its services have no target or are saturated. It fails the parts for such services, so that a
 // request that continues does not wait for them.
 func (machine *Machine) refuseEarly(now time.Time) (Finish, bool) {
+	if machine.plan.isSpent() {
+		return Finish{Code: result.Broken, Reason: reasonSpent}, true
+	}
 	if !now.Before(machine.answerBy()) {
 		return machine.deadlineFinish(), true
 	}
@@ -48,9 +51,6 @@
 		}
 	}
 	if usable == 0 || machine.isScatterGather() && !machine.meetsLeastShare(usable) {
-		if machine.mayHaveRun() {
-			return Finish{Code: result.Broken, Reason: "too few services are available"}, true
-		}
 		return Finish{Code: result.NoTarget, RetryAfter: retryAfter, Reason: "too few services are available"}, true
 	}
 	return Finish{}, false
@@ -184,14 +184,14 @@
 
 // mayHaveRun reports whether any attempt ran, may have run or may still run.
 func (machine *Machine) mayHaveRun() bool {
-	return machine.endedMayHaveRun || len(machine.attempts) > 0 || len(machine.plan.Spent) > 0
+	return machine.endedMayHaveRun || len(machine.attempts) > 0 || machine.plan.Spent.Total() > 0
 }
 
 // finish ends the request; the host cancels the attempts in flight.
 func (machine *Machine) finish(finish Finish) []Action {
 	machine.finished = true
 	machine.endTrial()
-	return []Action{finish}
+	return []Action{finish.Truthful(machine.Spent())}
 }
 
 // Gaps returns the services without an answer, for the log.
--- a/reel/query/messages.go
+++ b/reel/query/messages.go
@@ -19,10 +19,10 @@
 	Start        time.Time
 	SoftDeadline time.Time // last moment to send an answer that meets the route's latency goal at the caller
 	Deadline     time.Time // moment at which the caller or the route stops waiting
-	// Spent is the number of attempts of an earlier instance that may have reached a target, by service. They count against the
-	// limit of attempts; the earlier instance has paid for the next one.
-	Spent   map[string]int
+	// Spent is what earlier instances have spent. It counts against the limit of attempts; they have paid for the next one.
+	Spent   Spending
 	Counted bool // whether an earlier instance has counted the request for the budgets of its services
+	Once    bool // whether the request must not be repeated by the configuration of an earlier instance, whatever the Route says
 }
 
 // Router selects targets and limits extra attempts for all requests of an instance.
--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -65,7 +65,7 @@
 type part struct {
 	service         string
 	tried           []string // IDs of the targets that were tried
-	possibleRuns    int      // attempts that ran, may have run or may still run
+	possibleRuns    int      // attempts that ran, may have run or may still run, with those of earlier instances
 	inFlight        int
 	refusals        int  // attempts that ended without running
 	mayHaveArrived  bool // whether the service may have received an attempt
@@ -83,7 +83,7 @@
 func New(plan Plan, router Router, nextAttemptID func() uint64) *Machine {
 	machine := &Machine{plan: plan, router: router, nextAttemptID: nextAttemptID, attempts: map[uint64]*attempt{}}
 	for _, service := range plan.Services {
-		machine.parts = append(machine.parts, &part{service: service, possibleRuns: plan.Spent[service]})
+		machine.parts = append(machine.parts, &part{service: service, possibleRuns: plan.spentOn(service)})
 	}
 	return machine
 }
@@ -147,7 +147,7 @@
 	if machine.unsentReason != "" {
 		next = earliest(next, now.Add(capacityPollInterval))
 	}
-	if machine.trial && machine.plan.Route.Idempotent {
+	if machine.trial && machine.plan.Repeatable() {
 		next = earliest(next, machine.trialUntil)
 	}
 	if machine.isScatterGather() && machine.plan.SoftDeadline.After(now) {
@@ -211,7 +211,7 @@
 	if part.inFlight > 0 {
 		return nil
 	}
-	if answer.Execution != NotRun && !machine.plan.Route.Idempotent {
+	if answer.Execution != NotRun && !machine.plan.Repeatable() {
 		part.failed = true
 		return nil
 	}
@@ -301,7 +301,7 @@
 	if isExtra {
 		machine.extras++
 	}
-	if machine.plan.Route.Idempotent {
+	if machine.plan.Repeatable() {
 		part.hedgeAt = now.Add(machine.hedgeDelay(now))
 	}
 	return []Action{Send{AttemptID: attemptID, Service: part.service, Pick: pick, Kind: kind, Generation: part.generation,
@@ -339,9 +339,9 @@
 	return machine.plan.Start.Add(machine.plan.SoftDeadline.Sub(machine.plan.Start) / capacityWaitDivisor)
 }
 
-// maxAttempts returns how many attempts of a part may run; a request that is not idempotent may run only once.
+// maxAttempts returns how many attempts of a part may run; a request that must not be repeated may run only once.
 func (machine *Machine) maxAttempts() int {
-	if !machine.plan.Route.Idempotent {
+	if !machine.plan.Repeatable() {
 		return 1
 	}
 	return max(machine.plan.Route.Attempts, 1)
--- a/reel/query/settle.go
+++ b/reel/query/settle.go
@@ -29,5 +29,5 @@
 
 // IsUnsettled reports whether a request that ends with the code may have run, but only by attempts in flight.
 func (machine *Machine) IsUnsettled(code result.Code) bool {
-	return code.Ran() == result.RanUnknown && len(machine.attempts) > 0 && !machine.endedMayHaveRun && len(machine.plan.Spent) == 0
+	return code.Ran() == result.RanUnknown && len(machine.attempts) > 0 && !machine.endedMayHaveRun && machine.plan.Spent.Total() == 0
 }
--- a/reel/query/trial.go
+++ b/reel/query/trial.go
@@ -130,7 +130,7 @@
 // checkTrial reports whether the request must end because its trial got no answer in time. A request that is not
 // idempotent goes on, since its caller cannot repeat it.
 func (machine *Machine) checkTrial(now time.Time) (Finish, bool) {
-	if !machine.trial || !machine.plan.Route.Idempotent || now.Before(machine.trialUntil) {
+	if !machine.trial || !machine.plan.Repeatable() || now.Before(machine.trialUntil) {
 		return Finish{}, false
 	}
 	if !machine.mayHaveRun() {
--- a/shallotreel/ingress/admission_test.go
+++ b/shallotreel/ingress/admission_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"shallotreel.example/reel/query"
 	"shallotreel.example/reel/result"
 	"shallotreel.example/shallotreel/relay"
 )
@@ -71,6 +72,7 @@
 	if !fixture.handler.admission.Overloaded(time.Now(), &fixture.view.Configuration.Routes[0]) {
 		t.Error("the group does not refuse requests")
 	}
+	assertSpentLeftOpen(t, fixture, "/x/spent")
 	loads := fixture.handler.Load()
 	if len(loads) != 1 || loads[0].Limit == 0 || loads[0].Evidence != "overloaded" || len(loads[0].Ranks) != 1 || len(loads[0].Ranks[0].Refused) == 0 {
 		t.Errorf("load is %+v", loads)
@@ -92,3 +94,18 @@
 		t.Errorf("load is %+v", loads)
 	}
 }
+
+// assertSpentLeftOpen checks that a request which an earlier instance has sent does not end here as one that did not run.
+func assertSpentLeftOpen(t *testing.T, fixture *fixture, path string) {
+	t.Helper()
+	reply := fixture.handler.ServeRelayed(t.Context(), relay.Request{Method: http.MethodGet, Host: "h.example", URI: path, Left: time.Second,
+		GoalLeft: time.Second, Spent: query.Spending{"former-desk": 1}})
+	if reply.Code.Ran() != result.RanUnknown || reply.Overloaded || reply.Spent["former-desk"] != 1 {
+		t.Errorf("reply to a request that may have run is %+v", reply)
+	}
+}
+
+// TestUnknownRouteOfSpentRequest guards against a request that an earlier instance has sent and that ends as if no configuration allowed it.
+func TestUnknownRouteOfSpentRequest(t *testing.T) {
+	assertSpentLeftOpen(t, newFixture(t, singleRoute, (&fullTargets{}).serve), "/dropped/a")
+}
--- a/shallotreel/ingress/fleet_test.go
+++ b/shallotreel/ingress/fleet_test.go
@@ -22,8 +22,8 @@
 	instances    []int
 }
 
-// TestDrawnCutsOfFleet guards against broken promises while instances lose their paths to the targets: callers of these are served, no
-// request runs twice, "not run" is true, attempts, budget and deadlines are kept, and no ordinary request is marked.
+// TestDrawnCutsOfFleet guards against broken promises while instances lose their paths to the targets and a route moves: callers of these are
+// served, no request runs twice, "not run" is true, attempts, budget and deadlines are kept, and no ordinary request is marked.
 func TestDrawnCutsOfFleet(t *testing.T) {
 	rapid.Check(t, func(drawn *rapid.T) {
 		instances := rapid.IntRange(2, 9).Draw(drawn, "instances")
@@ -31,6 +31,12 @@
 		newsDelay := time.Duration(rapid.IntRange(1, 600).Draw(drawn, "news delay")) * time.Millisecond
 		period := time.Duration(rapid.IntRange(15, 200).Draw(drawn, "period")) * time.Millisecond // between requests to an instance
 		crashing := rapid.Bool().Draw(drawn, "crashing request")
+		moved := rapid.Bool().Draw(drawn, "a route moves")
+		movedFrom := time.Duration(rapid.IntRange(0, 9000).Draw(drawn, "moved from")) * time.Millisecond
+		movedAt := make([]time.Duration, instances)
+		for instance := range instances {
+			movedAt[instance] = movedFrom + time.Duration(rapid.IntRange(0, int(simulatedSpread.Milliseconds())).Draw(drawn, "learned after"))*time.Millisecond
+		}
 		var cuts []drawnCut
 		for i := range rapid.IntRange(1, 3).Draw(drawn, "cuts") {
 			cut := drawnCut{at: time.Duration(rapid.IntRange(0, 9000).Draw(drawn, "at")) * time.Millisecond, kind: cut(rapid.IntRange(1, int(cutKinds)-1).Draw(drawn, "kind")),
@@ -44,6 +50,9 @@
 		}
 		synctest.Test(t, func(t *testing.T) {
 			fleet := newSimulatedFleet(t, instances, seed, newsDelay)
+			for number := 0; moved && number < instances; number++ {
+				time.AfterFunc(movedAt[number], func() { fleet.configure(fleet.instances[number], 1) })
+			}
 			fleet.play(cuts, period, crashing)
 			fleet.close()
 			fleet.check(crashing)
@@ -54,6 +63,32 @@
 	})
 }
 
+// TestMovedRouteAfterTwoHandOvers guards against requests that run at two services: an instance without a path asks a helper that loses its
+// own path while the request runs, and then one that knows of a newer configuration, by which the route has moved.
+func TestMovedRouteAfterTwoHandOvers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newSimulatedFleet(t, 3, 1, time.Millisecond)
+		origin, first, second := fleet.instances[0], fleet.instances[1], fleet.instances[2]
+		fleet.cutPath(origin, reset, simulatedSession)
+		for version := 1; version < simulatedVersions; version++ {
+			time.AfterFunc(time.Duration(2*version-1)*time.Second, func() {
+				fleet.configure(second, version)
+				fleet.cutPath(first, reset, time.Second)
+			})
+			time.AfterFunc(time.Duration(2*version)*time.Second, func() {
+				fleet.configure(origin, version)
+				fleet.configure(first, version)
+			})
+		}
+		for count, began := 0, time.Now(); time.Since(began) < simulatedSession; time.Sleep(20 * time.Millisecond) {
+			go fleet.call(origin, http.MethodPost, fmt.Sprint("/one/", count), 0)
+			count++
+		}
+		fleet.close()
+		fleet.check(false)
+	})
+}
+
 // play sends requests to all instances and cuts paths as drawn.
 func (fleet *simulatedFleet) play(cuts []drawnCut, period time.Duration, crashing bool) {
 	for _, cut := range cuts {
--- a/shallotreel/ingress/handover.go
+++ b/shallotreel/ingress/handover.go
@@ -71,11 +71,22 @@
 
 // serve serves the request of a caller, at the targets or by way of another instance.
 func (run *run) serve(ctx context.Context, view *catalogue.View) query.Finish {
-	reason := run.handler.handOverReason(run.start, view)
-	if reason == "" {
-		return run.run(ctx)
+	var finish query.Finish
+	if reason := run.handler.handOverReason(run.start, view); reason == "" {
+		finish = run.run(ctx)
+	} else {
+		finish = run.handOver(ctx, reason)
 	}
-	return run.handOver(ctx, reason, nil)
+	return finish.Truthful(run.spending())
+}
+
+// spending returns all that was spent on the request: here, by earlier instances and by helpers.
+func (run *run) spending() query.Spending {
+	spending := run.plan.Spent.Merge(run.helpersSpent)
+	if run.machine != nil {
+		spending = spending.Merge(run.machine.Spent())
+	}
+	return spending
 }
 
 // handOverReason returns why requests must be served by way of another instance, or "".
@@ -92,24 +103,24 @@
 // leavePath ends the attempts of the request because the path to the targets is lost, and has it served by way of another instance.
 // It returns nil if the request goes on here: enough shards have answered, or it must not be repeated and may have been sent.
 func (run *run) leavePath(ctx context.Context) *query.Finish {
-	if run.machine.HasEnough() || !run.plan.Route.Idempotent && run.anySent() {
+	if run.machine.HasEnough() || !run.plan.Repeatable() && run.anySent() {
 		return nil
 	}
-	spent := run.withdraw()
+	arrived := run.withdraw()
 	if run.isRelayed {
 		run.pathLost = true
-		return &query.Finish{Code: unservedCode(spent), Reason: reasonPathBroke, RetryAfter: minPathRetryAfter}
+		return &query.Finish{Code: result.NoTarget, Reason: reasonPathBroke, RetryAfter: minPathRetryAfter}
 	}
-	if !run.plan.Route.Idempotent && len(spent) > 0 {
+	if !run.plan.Repeatable() && run.spending().Total() > 0 {
 		return &query.Finish{Code: result.Broken, Reason: reasonPathBroke}
 	}
 	now := time.Now()
-	for _, part := range spent {
-		if part.Arrived && !run.handler.router.SpendExtra(now, part.Service, extra.Retry) {
-			return &query.Finish{Code: result.Broken, Reason: reasonUnaffordable}
+	for _, service := range arrived {
+		if !run.handler.router.SpendExtra(now, service, extra.Retry) {
+			return &query.Finish{Code: result.NoTarget, Reason: reasonUnaffordable, RetryAfter: minPathRetryAfter}
 		}
 	}
-	finish := run.handOver(ctx, reasonPathBroke, spent)
+	finish := run.handOver(ctx, reasonPathBroke)
 	return &finish
 }
 
@@ -125,17 +136,9 @@
 	return broke && run.record.HandedOver == "" && !run.pathLost && run.handler.path.Verify(time.Now())
 }
 
-// unservedCode returns the code of a request that is given up after the attempts.
-func unservedCode(spent []query.Spent) result.Code {
-	if len(spent) > 0 {
-		return result.Broken
-	}
-	return result.NoTarget
-}
-
-// withdraw cancels the open attempts and returns what may have been sent.
-func (run *run) withdraw() []query.Spent {
-	spent := run.machine.Withdraw(run.cancelAttempt)
+// withdraw cancels the open attempts and returns the services that may have received an attempt.
+func (run *run) withdraw() []string {
+	arrived := run.machine.Withdraw(run.cancelAttempt)
 	for ended := true; ended; {
 		select {
 		case answer := <-run.answers:
@@ -145,23 +148,18 @@
 		}
 	}
 	run.calls = map[uint64]*connpool.Call{}
-	return spent
+	return arrived
 }
 
-// handOver has the request served by way of another instance, after what was spent on it here. The request was counted here if
-// anything was spent.
-func (run *run) handOver(ctx context.Context, reason string, spent []query.Spent) query.Finish {
+// handOver has the request served by way of another instance. The request was counted here if it was tried here.
+func (run *run) handOver(ctx context.Context, reason string) query.Finish {
 	now := time.Now()
 	version := max(run.record.Version, run.handler.helpersVersion.get(now))
 	request := relay.Request{Origin: run.handler.router.home.Name, Method: run.request.Method, Host: run.request.Host, URI: run.request.head.RequestURI,
 		Header: run.request.Header, Body: run.request.body, Left: run.plan.Deadline.Sub(now), GoalLeft: run.plan.SoftDeadline.Sub(now),
-		Version: version, Once: !run.plan.Route.Idempotent, Counted: run.machine != nil, Spent: map[string]int{}}
-	for _, part := range spent {
-		if part.Runs > 0 {
-			request.Spent[part.Service] = part.Runs
-		}
-	}
+		Version: version, Once: !run.plan.Repeatable(), Counted: run.machine != nil, Spent: run.spending()}
 	outcome := run.handler.helpers.Serve(ctx, request)
+	run.helpersSpent = outcome.Spent
 	run.record.HandedOver, run.record.Helpers = reason, outcome.Attempts
 	switch {
 	case ctx.Err() != nil:
@@ -174,16 +172,13 @@
 		if len(outcome.Attempts) == 0 {
 			run.handler.path.NoHelper()
 		}
-		return query.Finish{Code: unservedCode(spent), Reason: reasonNoHelper, RetryAfter: run.handler.pathRetryAfter()}
+		return query.Finish{Code: result.NoTarget, Reason: reasonNoHelper, RetryAfter: run.handler.pathRetryAfter()}
 	}
 	run.handler.helpersVersion.raise(time.Now(), outcome.Reply.Version)
 	finish := finishOf(outcome.Reply)
 	if outcome.Reply.Overloaded {
 		finish.Code = result.Overloaded
 	}
-	if len(spent) > 0 && statusOf(finish.Code) == http.StatusServiceUnavailable {
-		finish.Code = result.Broken // the helper has sent nothing, but this instance may have
-	}
 	return finish
 }
 
@@ -205,10 +200,8 @@
 // replyOf returns the reply of this instance as a helper.
 func (run *run) replyOf(finish query.Finish) relay.Reply {
 	reply := relay.Reply{Code: finish.Code, Reason: finish.Reason, RetryAfter: finish.RetryAfter, Signatures: finish.Signatures,
-		Missing: finish.Missing, Body: finish.Body, Version: run.record.Version, PathLost: run.pathLost, Spent: run.plan.Spent}
-	if run.machine != nil {
-		reply.Spent = run.machine.Spent()
-	}
+		Missing: finish.Missing, Body: finish.Body, Version: run.record.Version, PathLost: run.pathLost, Spent: run.spending(),
+		Repeatable: run.plan.Repeatable()}
 	if finish.Code == result.Overloaded {
 		reply.Code, reply.Overloaded = result.NoTarget, true
 	}
@@ -236,25 +229,26 @@
 	record := Record{ID: head.ID, CatalogueSerial: view.Serial, CallerTimeout: head.Timeout, Version: view.Configuration.Version, Origin: relayed.Origin}
 	route, ok := view.Configuration.FindRoute(head.Host, head.Path())
 	if !ok {
-		record.Code = result.UnknownRoute
+		finish := query.Finish{Code: result.UnknownRoute}.Truthful(relayed.Spent)
+		record.Code = finish.Code
 		handler.recorder.Record(record)
-		return relay.Reply{Code: result.UnknownRoute, Version: record.Version, Spent: relayed.Spent}
+		return relay.Reply{Code: finish.Code, Version: record.Version, Spent: relayed.Spent}
 	}
 	goalLeft := relayed.GoalLeft
 	if goalLeft < route.Goal/minGoalLeft {
 		goalLeft = route.Goal
 	}
 	plan := query.Plan{Route: route, Start: start, SoftDeadline: start.Add(goalLeft), Deadline: start.Add(relayed.Left),
-		Spent: relayed.Spent, Counted: relayed.Counted, Services: spentServices(route, relayed.Spent)}
+		Spent: relayed.Spent, Counted: relayed.Counted, Once: relayed.Once, Services: spentServices(route, relayed.Spent)}
 	run := handler.newRun(start, incoming{request, head, relayed.Body}, plan, record)
 	run.isRelayed = true
-	finish := run.run(ctx)
+	finish := run.run(ctx).Truthful(run.spending())
 	run.recordEnd(finish)
 	return run.replyOf(finish)
 }
 
 // spentServices returns the service of a weighted route of which attempts were spent, or nil if there is none.
-func spentServices(route *catalogue.Route, spent map[string]int) []string {
+func spentServices(route *catalogue.Route, spent query.Spending) []string {
 	for _, weight := range route.Weighted {
 		if spent[weight.Service] > 0 {
 			return []string{weight.Service}
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -47,6 +47,7 @@
 	wave           uint64         // identifies the first attempts; those of later generations follow
 	isRelayed      bool           // whether another instance has handed the request over
 	pathLost       bool           // whether a relayed request ended because this instance lost its path
+	helpersSpent   query.Spending // what was spent on the request when the helpers had ended, empty if it was not handed over
 	ticket         *ticket        // nil before the request is admitted
 }
 
@@ -170,7 +171,7 @@
 	run.handler.crashes.Sent(crash.Attempt{ID: send.AttemptID, Request: run.record.ID, Fingerprint: run.plan.Fingerprint,
 		Target: target, Wave: run.wave + uint64(send.Generation), SentAt: now,
 		Suspicion: suspicion})
-	call := &connpool.Call{Address: target.Address, Method: run.outbound.Method, MaxBody: maxBody(run.plan.Route), RequireFresh: !run.plan.Route.Idempotent,
+	call := &connpool.Call{Address: target.Address, Method: run.outbound.Method, MaxBody: maxBody(run.plan.Route), RequireFresh: !run.plan.Repeatable(),
 		Request: run.outbound.EncodeAttempt(target.ID, send.Deadline.Sub(now)), MatchesResponse: run.outbound.EchoedIn}
 	call.Refresh = func(now time.Time) ([]byte, bool) {
 		left := send.Deadline.Sub(now)
--- a/shallotreel/ingress/simulated_fleet_test.go
+++ b/shallotreel/ingress/simulated_fleet_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,6 +37,8 @@
 	simulatedAttempts  = 2
 	simulatedRatio     = 0.2
 	simulatedSlack     = 58
+	simulatedVersions  = 8               // of the configuration
+	simulatedSpread    = 3 * time.Second // within which all instances learn of a configuration
 	simulatedWindow    = 10 * time.Second
 	simulatedTimeout   = 1500 * time.Millisecond // of a caller
 	simulatedDowntime  = 1500 * time.Millisecond // of a target that crashed
@@ -56,8 +59,8 @@
 type simulatedFleet struct {
 	t         *testing.T
 	random    *rand.Rand
-	newsDelay time.Duration // of what instances tell each other
-	view      *catalogue.View
+	newsDelay time.Duration     // of what instances tell each other
+	views     []*catalogue.View // of successive configurations, each of which moves a route
 	targets   map[netip.AddrPort]*simulatedTarget
 	instances []*simulatedInstance
 	mutex     sync.Mutex
@@ -78,6 +81,7 @@
 	crashes *crashwatch.Watch
 	tracker *quarantine.Tracker
 	client  *relay.Client
+	view    *registry
 	cuts    []interval
 }
 
@@ -105,11 +109,13 @@
 
 func (dropped) Record(Record) {}
 
-// registry is a Registry whose view never changes.
-type registry struct{ view *catalogue.View }
+// registry is the Registry of one instance.
+type registry struct {
+	view atomic.Pointer[catalogue.View]
+}
 
-func (registry registry) View() *catalogue.View          { return registry.view }
-func (registry registry) RecordLeaving(catalogue.Target) {}
+func (registry *registry) View() *catalogue.View          { return registry.view.Load() }
+func (registry *registry) RecordLeaving(catalogue.Target) {}
 
 // newSimulatedFleet returns a fleet in three data centres, whose targets are spread over them too.
 func newSimulatedFleet(t *testing.T, instances int, seed uint64, newsDelay time.Duration) *simulatedFleet {
@@ -117,7 +123,7 @@
 		calls: map[string]*simulatedCall{}, done: make(chan struct{})}
 	all := catalogue.Route{Name: "all", Host: "h", Prefix: "/all/", Idempotent: true, Top: 3, LeastShare: 0.6}
 	one := catalogue.Route{Name: "one", Host: "h", Prefix: "/one/", Service: "desk"}
-	services := []catalogue.Service{{Name: "desk", MaxConnections: 40}}
+	services := []catalogue.Service{{Name: "desk", MaxConnections: 40}, {Name: "other-desk", MaxConnections: 40}}
 	for shard := range simulatedShards {
 		all.Shards = append(all.Shards, fmt.Sprint("shard-", shard))
 		services = append(services, catalogue.Service{Name: all.Shards[shard], MaxConnections: 40})
@@ -132,8 +138,11 @@
 	for i := range routes {
 		routes[i].Timeout, routes[i].Goal, routes[i].Attempts = 2*time.Second, 200*time.Millisecond, simulatedAttempts
 	}
-	targets.Configure(catalogue.NewConfiguration(1, routes, services, catalogue.Limits{}))
-	fleet.view = targets.View()
+	for version := range simulatedVersions {
+		routes[1].Service = []string{"desk", "other-desk"}[version%2]
+		targets.Configure(catalogue.NewConfiguration(uint64(version+1), slices.Clone(routes), services, catalogue.Limits{}))
+		fleet.views = append(fleet.views, targets.View())
+	}
 	for number := range instances {
 		fleet.addInstance(number)
 	}
@@ -157,7 +166,9 @@
 	pool := connpool.NewPool(connpool.WithDial(func(ctx context.Context, _, address string) (net.Conn, error) {
 		return instance.path.connect(ctx, fleet.targets[netip.MustParseAddrPort(address)])
 	}))
-	view := registry{fleet.view}
+	instance.view = &registry{}
+	instance.view.view.Store(fleet.views[0])
+	view := instance.view
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	instance.router = NewRouter(view, pool, extra.Limits{Ratio: simulatedRatio, Window: simulatedWindow, Slack: simulatedSlack}, self,
@@ -313,6 +324,11 @@
 	time.AfterFunc(duration, func() { instance.path.set(noCut) })
 }
 
+// configure lets the instance learn of a configuration, which moves the route to a single service to another one.
+func (fleet *simulatedFleet) configure(instance *simulatedInstance, version int) {
+	instance.view.view.Store(fleet.views[version])
+}
+
 // close ends the session.
 func (fleet *simulatedFleet) close() {
 	close(fleet.done)
--- a/shallotreel/relay/client.go
+++ b/shallotreel/relay/client.go
@@ -10,6 +10,7 @@
 
 	"shallotreel.example/reel/helper"
 	"shallotreel.example/reel/member"
+	"shallotreel.example/reel/query"
 )
 
 // minLeft is the least time in which a helper can do anything for a request.
@@ -20,14 +21,17 @@
 	Helper string        `json:"helper"`
 	Took   time.Duration `json:"took"`
 	Cause  string        `json:"cause,omitempty"` // why the helper gave no answer
+	// Spent is what was spent on the request when the attempt had ended, as far as the helper told.
+	Spent query.Spending `json:"spent,omitempty"`
 }
 
 // Outcome is what became of a request that was handed over.
 type Outcome struct {
-	Reply    Reply     // of the last helper, if Answered is set
-	Answered bool      // whether a helper served the request, with success or not
-	Unknown  bool      // whether a helper may have sent the request to a target, and gave no answer
-	Attempts []Attempt // none if no instance can help
+	Reply    Reply          // of the last helper, if Answered is set
+	Answered bool           // whether a helper served the request, with success or not
+	Unknown  bool           // whether a helper may have sent the request to a target, and gave no answer
+	Attempts []Attempt      // none if no instance can help
+	Spent    query.Spending // that of the request, with what the helpers have told
 }
 
 // Client hands requests over to other instances. It is safe for concurrent use.
@@ -69,9 +73,9 @@
 }
 
 // Serve has the request served by a helper. It asks the next one only if the one before has certainly sent nothing, or has lost its
-// own path and told what it has sent.
+// own path and told what it has sent, of a request that may be repeated.
 func (client *Client) Serve(ctx context.Context, request Request) Outcome {
-	var outcome Outcome
+	outcome := Outcome{Spent: request.Spent}
 	var tried []string
 	deadline := time.Now().Add(request.Left)
 	goal := time.Now().Add(request.GoalLeft)
@@ -84,7 +88,8 @@
 		}
 		tried = append(tried, chosen.Name)
 		reply, err := client.askHelper(ctx, chosen, request)
-		attempt := Attempt{Helper: chosen.Name, Took: time.Since(now), Cause: reply.Refusal}
+		outcome.Spent = outcome.Spent.Merge(reply.Spent)
+		attempt := Attempt{Helper: chosen.Name, Took: time.Since(now), Cause: reply.Refusal, Spent: outcome.Spent}
 		if err != nil {
 			attempt.Cause = err.Error()
 		}
@@ -97,10 +102,11 @@
 			return outcome
 		}
 		outcome.Reply, outcome.Answered = reply, true
-		if !reply.PathLost {
+		repeatable := !request.Once && reply.Repeatable
+		if !reply.PathLost || !repeatable && outcome.Spent.Total() > 0 {
 			return outcome
 		}
-		request.Spent, request.Counted = reply.Spent, true
+		request.Spent, request.Counted = outcome.Spent, true
 	}
 }
 
--- a/shallotreel/relay/messages.go
+++ b/shallotreel/relay/messages.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"shallotreel.example/reel/query"
 	"shallotreel.example/reel/result"
 )
 
@@ -24,7 +25,7 @@
 	Version  uint64         // newest configuration by which the origin's callers were served; an older one must not be used
 	Once     bool           // whether the request must not be repeated
 	Counted  bool           // whether the origin has counted the request for the budgets of extra attempts
-	Spent    map[string]int // attempts that may have reached a target, by service; they count against the route's limit
+	Spent    query.Spending // by the origin and by the helpers before
 }
 
 // Reply is the answer to a Request.
@@ -41,7 +42,8 @@
 	Signatures []string // of a merged answer
 	Missing    int
 	Version    uint64         // of the configuration that was used
-	Spent      map[string]int // like that of the Request, with the attempts of the helper
+	Spent      query.Spending // that of the Request, with the attempts of the helper; earlier versions leave out services that they do not know
+	Repeatable bool           // whether the request may be repeated as the helper knows it; earlier versions do not say
 }
 
 // Reasons of a Refusal.
--- a/shallotreel/relay/relay_test.go
+++ b/shallotreel/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -108,7 +109,7 @@
 	})
 	t.Run("a helper that lost its path tells what it has spent", func(t *testing.T) {
 		losing := serve(t, helperOf(func(context.Context, Request) Reply {
-			return Reply{Code: result.Broken, PathLost: true, Spent: map[string]int{"desk": 2}}
+			return Reply{Code: result.Broken, PathLost: true, Spent: map[string]int{"desk": 2}, Repeatable: true}
 		}))
 		other := serve(t, helperOf(func(_ context.Context, request Request) Reply {
 			if request.Spent["desk"] != 2 || !request.Counted {
@@ -258,3 +259,44 @@
 		}
 	})
 }
+
+// TestSpendingOfHelpers guards against a request that must not be repeated and goes on at the next helper after one that lost its path has
+// sent it, and against helpers that learn only a part of what was spent before.
+func TestSpendingOfHelpers(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		once   bool
+		before map[string]int
+		reply  Reply // of the first helper
+		want   map[string]int
+		asked  bool // whether the next helper is asked
+	}{
+		{"it may be repeated", false, nil, Reply{Repeatable: true, Spent: map[string]int{"desk": 1}}, map[string]int{"desk": 1}, true},
+		{"the helper does not know a service of the origin", false, map[string]int{"former-desk": 1},
+			Reply{Repeatable: true, Spent: map[string]int{"desk": 1}}, map[string]int{"desk": 1, "former-desk": 1}, true},
+		{"it must not be repeated and may have run", true, nil, Reply{Spent: map[string]int{"desk": 1}}, map[string]int{"desk": 1}, false},
+		{"it must not be repeated and did not run", true, nil, Reply{}, nil, true},
+		{"only the helper knows that it must not be repeated", false, nil, Reply{Spent: map[string]int{"desk": 1}}, map[string]int{"desk": 1}, false},
+		{"the helper is of an earlier version, which does not say", false, map[string]int{"desk": 1}, Reply{}, map[string]int{"desk": 1}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			test.reply.Code, test.reply.PathLost = result.Broken, true
+			losing := serve(t, helperOf(func(context.Context, Request) Reply { return test.reply }))
+			asked := false
+			next := serve(t, helperOf(func(_ context.Context, request Request) Reply {
+				asked = true
+				if !maps.Equal(request.Spent, test.want) {
+					t.Errorf("the next helper learns of %v, want %v", request.Spent, test.want)
+				}
+				return Reply{Code: result.OK, Spent: request.Spent}
+			}))
+			outcome := newClient(losing, next).Serve(t.Context(), Request{Left: left, Once: test.once, Spent: test.before})
+			if asked != test.asked {
+				t.Errorf("the next helper is asked: %v, want %v", asked, test.asked)
+			}
+			if !maps.Equal(outcome.Spent, test.want) {
+				t.Errorf("the origin learns of %v, want %v", outcome.Spent, test.want)
+			}
+		})
+	}
+}
