Stop: requests that cannot end before the process are refused, others end before it

Cause: the process let requests in with the callers' whole deadlines until half of the grace time, and closed what was left at the end.

Ruled out: requests read after the listener closed, and stops longer than the grace time.

Change: Handler.StopBy tells the handler when the process ends.

The route of startFront in the tests is written with its type and timeout now, which were those of the store's default before.

--- a/reel/query/late.go
+++ b/reel/query/late.go
@@ -20,6 +20,18 @@
 	return !machine.latestSend.IsZero() && !now.Before(machine.latestSend)
 }
 
+// Expire ends the request with what has arrived, because its instance stops before the deadline.
+func (machine *Machine) Expire(now time.Time) []Action {
+	if machine.finished {
+		return nil
+	}
+	machine.plan.SoftDeadline, machine.plan.Deadline = now, now
+	if machine.unsentReason != "" {
+		return machine.finish(machine.failureFinish(machine.unsentReason))
+	}
+	return machine.checkFinished(now)
+}
+
 // failLate fails a part that has no attempt in flight when it is too late to send one. It reports whether it is too late.
 func (machine *Machine) failLate(now time.Time, part *part) bool {
 	if !machine.isTooLate(now) {
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -329,7 +329,8 @@
 
 // Stop shuts the instance down gracefully within the grace period of the settings. It
 // announces to the peers that this instance is leaving, keeps serving while callers may
-// still use its address, waits for running requests and closes. The reason is logged.
+// still use its address, unless a request would likely have no answer by the end, waits for running requests and closes. The reason is
+// logged.
 func (front *Front) Stop(reason string) {
 	front.log.WithField("reason", reason).Info("stopping")
 	begun := time.Now()
@@ -337,9 +338,11 @@
 	front.handler.DisableKeepAlives()
 	front.roster.Leave()
 	grace := front.settings.Load().Grace.Std()
+	end := begun.Add(grace - closeMargin)
+	front.handler.StopBy(end)
 	serving := min(staleTTLFactor*addressTTL, grace/2)
 	time.Sleep(serving)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-closeMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := front.callerServer.Shutdown(ctx); err != nil {
 		front.log.WithError(err).WithField("running", front.handler.Running()).Warn("requests were still running at the end of the grace period")
--- a/shallotreel/front/front_test.go
+++ b/shallotreel/front/front_test.go
@@ -37,15 +37,24 @@
 // startFront starts an instance with one target, which takes 5 ms for each request.
 func startFront(t *testing.T, runs *atomic.Int64) (*Front, settings.Front) {
 	t.Helper()
-	target := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	return startFrontOf(t, "idempotent", 500*time.Millisecond, func(*http.Request) {
 		runs.Add(1)
 		time.Sleep(5 * time.Millisecond)
+	})
+}
+
+// startFrontOf starts an instance with one target, which calls the function for each request, and one route of the type and timeout.
+func startFrontOf(t *testing.T, routeType string, timeout time.Duration, work func(*http.Request)) (*Front, settings.Front) {
+	t.Helper()
+	target := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		work(request)
 		writer.Header().Set("Request-Id", request.Header.Get("Request-Id"))
 		writer.Header().Set("Server-Stamp", "stamp")
 	}))
 	t.Cleanup(target.Close)
 	store := storetest.Start(t)
-	store.Configure(t, 1)
+	route := storetest.Route{Name: "r", Host: "h", Prefix: "/", Type: routeType, Timeout: float64(timeout.Milliseconds()), Goal: 80, Attempts: 2, Service: "desk"}
+	store.ConfigureRoutes(t, 1, []storetest.Route{route}, []storetest.Service{{Name: "desk", Connections: 9}})
 	store.Register(t, storetest.Target{ID: "one", Seq: 1, Address: netip.MustParseAddrPort(target.Listener.Addr().String())})
 	return startOnFreePorts(t, settings.Front{Name: "front", DataCentre: "a", StoreAddress: store.Address(),
 		Grace: document.Duration(waitTimeout), MaxAddressTTL: document.Duration(time.Second), LogLevel: "info",
--- a/shallotreel/ingress/handler.go
+++ b/shallotreel/ingress/handler.go
@@ -41,6 +41,8 @@
 	requests           atomic.Int64
 	relaysRefused      atomic.Bool  // whether no more requests of other instances are served
 	helpersVersion     versionFloor // newest configuration by which helpers have served callers of this instance
+	lifetime           *lifetime
+	answerBy           atomic.Pointer[time.Time] // when the last answers must be written, nil unless the process stops
 }
 
 // Registry provides the newest view of routes and targets, and learns what targets say of themselves.
@@ -92,7 +94,7 @@
 func New(catalogue Registry, router *Router, pool *connpool.Pool, crashes *crashwatch.Watch, path *reachwatch.Watch,
 	helpers Helpers, recorder Recorder, options ...Option) *Handler {
 	handler := &Handler{catalogue: catalogue, router: router, pool: pool, crashes: crashes, path: path, helpers: helpers, recorder: recorder,
-		admission: silentAdmission()}
+		admission: silentAdmission(), lifetime: newLifetime()}
 	for _, option := range options {
 		option(handler)
 	}
@@ -140,7 +142,12 @@
 		handler.refuse(writer, start, record, query.Finish{Code: code})
 		return
 	}
-	run := handler.newRun(start, incoming{request, requestHead, body}, handler.plan(start, requestHead, route), record)
+	plan := handler.plan(start, requestHead, route)
+	if refusal := handler.refuseLate(time.Now(), &plan); refusal != nil {
+		handler.refuse(writer, start, record, *refusal)
+		return
+	}
+	run := handler.newRun(start, incoming{request, requestHead, body}, plan, record)
 	finish := run.serve(request.Context(), view)
 	handler.write(writer, finish)
 	run.recordEnd(finish)
@@ -198,7 +205,7 @@
 // refuse ends a request for which no attempt is made.
 func (handler *Handler) refuse(writer http.ResponseWriter, start time.Time, record Record, finish query.Finish) {
 	handler.write(writer, finish)
-	record.Code, record.Took = finish.Code, time.Since(start)
+	record.Code, record.Reason, record.Took = finish.Code, finish.Reason, time.Since(start)
 	handler.recorder.Record(record)
 }
 
@@ -242,7 +249,7 @@
 		return http.StatusRequestEntityTooLarge
 	case result.BadRequest:
 		return http.StatusBadRequest
-	case result.NotReady, result.NoTarget, result.Quarantined, result.Overloaded, result.TooLate:
+	case result.NotReady, result.NoTarget, result.Quarantined, result.Overloaded, result.TooLate, result.Stopping:
 		return http.StatusServiceUnavailable
 	case result.DeadlineExceeded:
 		return http.StatusGatewayTimeout
--- a/shallotreel/ingress/handover.go
+++ b/shallotreel/ingress/handover.go
@@ -133,7 +133,8 @@
 		return false
 	}
 	broke := slices.ContainsFunc(run.record.Attempts, func(attempt Attempt) bool { return attempt.Cause != "" && attempt.Status == 0 })
-	return broke && run.record.HandedOver == "" && !run.pathLost && run.handler.path.Verify(time.Now())
+	stopped := run.handler.lifetime.Err() != nil
+	return broke && run.record.HandedOver == "" && !run.pathLost && !stopped && run.handler.path.Verify(time.Now())
 }
 
 // withdraw cancels the open attempts and returns the services that may have received an attempt.
@@ -158,7 +159,10 @@
 	request := relay.Request{Origin: run.handler.router.home.Name, Method: run.request.Method, Host: run.request.Host, URI: run.request.head.RequestURI,
 		Header: run.request.Header, Body: run.request.body, Left: run.plan.Deadline.Sub(now), GoalLeft: run.plan.SoftDeadline.Sub(now),
 		Version: version, Once: !run.plan.Repeatable(), Counted: run.machine != nil, Spent: run.spending()}
-	outcome := run.handler.helpers.Serve(ctx, request)
+	helped, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(run.handler.lifetime, cancel)()
+	outcome := run.handler.helpers.Serve(helped, request)
 	run.helpersSpent = outcome.Spent
 	run.record.HandedOver, run.record.Helpers = reason, outcome.Attempts
 	switch {
@@ -240,6 +244,9 @@
 	}
 	plan := query.Plan{Route: route, Start: start, SoftDeadline: start.Add(goalLeft), Deadline: start.Add(relayed.Left),
 		Spent: relayed.Spent, Counted: relayed.Counted, Once: relayed.Once, Services: spentServices(route, relayed.Spent)}
+	if handler.refuseLate(start, &plan) != nil {
+		return relay.Reply{Refusal: relay.RefusedStopping}
+	}
 	run := handler.newRun(start, incoming{request, head, relayed.Body}, plan, record)
 	run.isRelayed = true
 	finish := run.run(ctx).Truthful(run.spending())
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -113,6 +113,8 @@
 				return finish
 			}
 			lost = nil
+		case <-run.handler.lifetime.Done():
+			actions = run.machine.Expire(time.Now())
 		case <-ctx.Done():
 			run.machine.Cancel()
 			return &query.Finish{Code: result.Canceled, Reason: reasonDisconnected}
@@ -161,6 +163,7 @@
 // send starts an attempt and adds it to the record.
 func (run *run) send(now time.Time, send query.Send) {
 	target := send.Pick.Target
+	send.Deadline = run.handler.limit(send.Deadline)
 	run.attemptIndexes[send.AttemptID] = len(run.record.Attempts)
 	run.record.Attempts = append(run.record.Attempts, Attempt{Target: target.ID, Service: send.Service,
 		Kind: send.Kind, Grade: send.Pick.Grade, Limited: send.Pick.Limited, After: now.Sub(run.start)})
--- a/shallotreel/ingress/simulated_fleet_test.go
+++ b/shallotreel/ingress/simulated_fleet_test.go
@@ -101,6 +101,7 @@
 	idempotent bool
 	at         time.Time
 	leftAt     time.Time // when the caller disconnected, zero if it did not
+	endedAt    time.Time
 	status     int
 }
 
@@ -297,7 +298,7 @@
 	instance.handler.ServeHTTP(recorder, request)
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	call.status = recorder.Code
+	call.status, call.endedAt = recorder.Code, time.Now()
 	if ctx.Err() != nil {
 		call.status, call.leftAt = 0, call.at.Add(patience)
 	}
