Feed: odd registrations are ignored with the field that is wrong

What callers would have seen: requests at addresses that are no target's (port 0, 0.0.0.0), and requests at a target that drains, because its reports were dropped (reported by another operator as machines that end or stop following the list).

Cause: a registration counted if its fields had the right Go types. Slots of any size or sign, port 0, an unspecified address and `born` and `seq` at both ends passed; under the key of a target, a later `born` or a higher `seq` makes all its own reports older.

Ruled out: deep nesting, numbers past every type, ports past 65535 and bytes that are not JSON; these were ignored before, too.

Change: Target.Check names the field; it is asked for entries of the store and of peers. Log lines about ignored registrations are limited, and do not quote what was written.

--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,11 +15,14 @@
 	"shallotreel.example/reel/catalogue"
 	"shallotreel.example/reel/cursor"
 	"shallotreel.example/shallotreel/cataloguesync"
+	"shallotreel.example/shallotreel/linelimit"
 )
 
 const (
 	tickInterval = 250 * time.Millisecond // between two calls of Catalogue.Tick
 	callTimeout  = time.Second            // of one call, in addition to the server-side wait of a watch
+	// ignoredLinesPerSecond limits the log lines about registrations that are ignored, which another program may write at any rate.
+	ignoredLinesPerSecond = 10
 )
 
 // Feed keeps the catalogue in a single actor and publishes immutable views of it.
@@ -43,6 +47,7 @@
 	onReady        func()      // called once, when requests can be routed
 	onTargetChange func(catalogue.Change)
 	leaving        []cataloguesync.Leaving // targets to report to the peer that reads the store; guarded by mutex
+	ignoredLines   *linelimit.Limiter      // limits the log lines about registrations that are ignored
 	skipped        cursor.Position         // of the newest configuration in the store that was not applied
 	nameless       cursor.Position         // of the newest evacuation that names no data centre
 	outdatedPeer   netip.AddrPort          // peer of a build that does not know evacuations; only follow uses it
@@ -93,7 +98,8 @@
 // New returns a Feed that is idle until Start is called and stops when the context ends.
 func New(ctx context.Context, system *actor.ActorSystem, config Config) *Feed {
 	feed := &Feed{ctx: ctx, root: system.Root, store: config.Store, peers: config.Peers, incarnation: config.Incarnation,
-		log: config.Log, onReady: config.OnReady, onTargetChange: config.OnTargetChange, catalogue: catalogue.New(), changed: make(chan struct{})}
+		log: config.Log, onReady: config.OnReady, onTargetChange: config.OnTargetChange, catalogue: catalogue.New(), changed: make(chan struct{}),
+		ignoredLines: linelimit.New(ignoredLinesPerSecond)}
 	feed.view.Store(feed.catalogue.View())
 	feed.position.Store(&cursor.Position{})
 	return feed
@@ -231,9 +237,11 @@
 		return
 	}
 	target, err := item.Target()
+	if err == nil {
+		err = target.Check(now)
+	}
 	if err != nil {
-		feed.log.WithError(err).WithFields(logrus.Fields{"target": id, "revision": item.Revision}).
-			Warn("registration ignored")
+		feed.logIgnored(now, id, item.Revision, err)
 		return
 	}
 	target.ColdAt = now
@@ -242,6 +250,25 @@
 	}
 }
 
+// checked returns the delta of a peer without the targets to which requests must not be sent, which an earlier build may let pass.
+func (feed *Feed) checked(now time.Time, delta catalogue.Delta) catalogue.Delta {
+	delta.Targets = slices.DeleteFunc(slices.Clone(delta.Targets), func(target catalogue.Target) bool {
+		err := target.Check(now)
+		if err != nil {
+			feed.logIgnored(now, target.ID, 0, err)
+		}
+		return err != nil
+	})
+	return delta
+}
+
+// logIgnored logs that a registration is ignored, at the revision of the store or 0 if a peer has told it.
+func (feed *Feed) logIgnored(now time.Time, id string, revision uint64, err error) {
+	if feed.ignoredLines.Allow(now) {
+		feed.log.WithError(err).WithFields(logrus.Fields{"target": id, "revision": revision}).Warn("registration ignored")
+	}
+}
+
 // applyConfiguration applies a configuration that is newer than the current one. An older one, which the store has after
 // it was restored until the operator writes the newest one again, or one that cannot be decoded, is logged once.
 func (feed *Feed) applyConfiguration(item platform.Item, position cursor.Position) {
@@ -270,7 +297,7 @@
 func (feed *Feed) applyPeerDelta(now time.Time, reply cataloguesync.Reply) {
 	feed.storeAnswered(now, reply.Age)
 	old := feed.catalogue.Configuration()
-	feed.logChanges(feed.catalogue.Apply(now, reply.Delta, reply.Whole)...)
+	feed.logChanges(feed.catalogue.Apply(now, feed.checked(now, reply.Delta), reply.Whole)...)
 	if feed.catalogue.Configuration() != old {
 		feed.logConfiguration(sourcePeer, reply.Position())
 	}
@@ -282,7 +309,7 @@
 	if feed.catalogue.Configuration() != nil {
 		return
 	}
-	feed.logChanges(feed.catalogue.Apply(now, reply.Delta, reply.Whole)...)
+	feed.logChanges(feed.catalogue.Apply(now, feed.checked(now, reply.Delta), reply.Whole)...)
 	feed.logConfiguration(sourceStartup, reply.Position())
 	feed.startup.evacuationsKnown = reply.Delta.SupportsEvacuations
 }
