--- a/reel/cursor/cursor.go
+++ b/reel/cursor/cursor.go
@@ -27,8 +27,8 @@
 	ErrRestored = errors.New("the store was restored from a copy")
 	// ErrOldEra means that the answer is from before the store was restored.
 	ErrOldEra = errors.New("the answer is from before the store was restored")
-	// ErrHistoryLost means that the store no longer has the changes after the last read.
-	ErrHistoryLost = errors.New("the store no longer has the changes after this revision")
+	// ErrHistoryLost means that the store no longer has the changes after the last read, or cannot return them in one answer.
+	ErrHistoryLost = errors.New("the changes after this revision are not available")
 	// ErrPeerStale means that the peer's catalogue is too old, or older than this instance's.
 	ErrPeerStale = errors.New("the peer's catalogue is stale")
 )
