Cursor: a watch that the store cuts is no outage

Cause: any failed call counted as an outage, after which the ends of registrations are held back for 2.3 s; the platform may cut a waiting watch at any time. Ruled out: missed events, since the next watch goes on from the same revision.

Change: an outage is a timeout, or a second failure in succession; an outage that fails calls at once fails the second one after 100 ms, and no registration of a running target expires in so short a time.

--- a/reel/cursor/cursor.go
+++ b/reel/cursor/cursor.go
@@ -134,17 +134,20 @@
 	return watchInterval
 }
 
-// Fail records a failed read of the store and returns how long to wait before the next one.
-func (cursor *Cursor) Fail(err error) time.Duration {
+// Fail records a failed read of the store and returns how long to wait before the next one. It reports whether the failure is the
+// sign of an outage; a single call that ends early is none, since the store may cut a watch at any time.
+func (cursor *Cursor) Fail(err error) (pause time.Duration, outage bool) {
 	switch {
 	case errors.Is(err, ErrRestored):
-		return 0
+		return 0, false
 	case errors.Is(err, ErrHistoryLost):
 		cursor.listed, cursor.requireNew = false, true
-		return 0
+		return 0, false
 	}
 	cursor.failures++
-	return minBackoff << min(cursor.failures-1, doublings)
+	var timeout interface{ Timeout() bool }
+	timedOut := errors.As(err, &timeout) && timeout.Timeout()
+	return minBackoff << min(cursor.failures-1, doublings), timedOut || cursor.failures > 1
 }
 
 // ReadPeer checks the answer of a peer and records how far the peer has read. It returns how long to wait before the next
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -161,8 +161,8 @@
 	}
 	feed.checkEra(era, cursor)
 	if err != nil {
-		pause = cursor.Fail(err)
-		if pause > 0 {
+		var outage bool
+		if pause, outage = cursor.Fail(err); outage {
 			feed.root.Send(feed.pid, callFailed{err})
 		}
 	} else if !read.AllowStale {
