Hand-over: whether a request may have run costs no map for each request

Found by reading the change as a newcomer: the end of each request built the map of all that was spent, with an entry for each shard, to ask whether it is empty. Change: Machine.MayHaveRun answers that, also after a request was withdrawn; the map is built for hand-overs only. The set of pending removals of a delta has a function of its own, and a variable of a test loses a type that the linter does not want.

--- a/reel/catalogue/delta.go
+++ b/reel/catalogue/delta.go
@@ -48,6 +48,15 @@
 	return delta
 }
 
+// pendingIDs returns the set of targets whose removal is pending.
+func (delta Delta) pendingIDs() map[string]bool {
+	ids := make(map[string]bool, len(delta.Pending))
+	for _, removal := range delta.Pending {
+		ids[removal.ID] = true
+	}
+	return ids
+}
+
 // Apply applies a delta from another instance and returns the changes of targets. If whole is set, the delta is a full
 // listing, and targets that it does not contain are removed.
 func (catalogue *Catalogue) Apply(now time.Time, delta Delta, whole bool) []Change {
@@ -56,10 +65,7 @@
 	if whole {
 		catalogue.BeginListing()
 	}
-	pending := map[string]bool{}
-	for _, removal := range delta.Pending {
-		pending[removal.ID] = true
-	}
+	pending := delta.pendingIDs()
 	for _, target := range delta.Targets {
 		if pending[target.ID] && catalogue.hasRemoved(target) {
 			continue // the peer knows a later report, but the same end
--- a/reel/cursor/cursor.go
+++ b/reel/cursor/cursor.go
@@ -18,7 +18,7 @@
 	peerPollInterval = 50 * time.Millisecond  // pause after a change, so that one answer returns several changes
 	directReadPeriod = 2 * time.Second        // for which the store is read directly after a peer failed
 	minBackoff       = 100 * time.Millisecond
-	doublings        = 2 // of minBackoff at most, so that removals can be held back within four seconds after a cut
+	doublings        = 2 // of minBackoff at most, so that removals that are held back after a cut end within four seconds of it
 )
 
 // Errors that end a read.
--- a/reel/cursor/simulated_instance_test.go
+++ b/reel/cursor/simulated_instance_test.go
@@ -10,7 +10,7 @@
 )
 
 // errNoAnswer is the timeout of a call.
-var errNoAnswer error = context.DeadlineExceeded
+var errNoAnswer = context.DeadlineExceeded
 
 // instance is one process of shallotreel.
 type instance struct {
--- a/reel/query/end.go
+++ b/reel/query/end.go
@@ -155,7 +155,7 @@
 
 // uncoveredFinish returns the end of a scatter-gather request that cannot reach the least share any more.
 func (machine *Machine) uncoveredFinish(answered int) Finish {
-	if answered == 0 && !machine.mayHaveRun() {
+	if answered == 0 && !machine.MayHaveRun() {
 		return machine.failureFinish("no shard accepted the request")
 	}
 	return Finish{Code: result.Uncovered, Reason: "too few shards can answer"}
@@ -165,7 +165,7 @@
 // target if there is one and the request goes to a single service.
 func (machine *Machine) failureFinish(reason string) Finish {
 	switch {
-	case !machine.mayHaveRun():
+	case !machine.MayHaveRun():
 		return Finish{Code: result.NoTarget, RetryAfter: max(retryAfterShort, machine.quietRetryAfter), Reason: reason}
 	case machine.targetError != nil && !machine.isScatterGather():
 		return Finish{Code: result.Relayed, Answer: machine.targetError, Reason: reason}
@@ -176,14 +176,14 @@
 
 // deadlineFinish returns the end of a request whose deadline has passed.
 func (machine *Machine) deadlineFinish() Finish {
-	if !machine.mayHaveRun() {
+	if !machine.MayHaveRun() {
 		return Finish{Code: result.NoTarget, RetryAfter: retryAfterShort, Reason: "no target accepted the request before the deadline"}
 	}
 	return Finish{Code: result.DeadlineExceeded, Reason: "the deadline passed"}
 }
 
-// mayHaveRun reports whether any attempt ran, may have run or may still run.
-func (machine *Machine) mayHaveRun() bool {
+// MayHaveRun reports whether any attempt ran, may have run or may still run, here or at an earlier instance.
+func (machine *Machine) MayHaveRun() bool {
 	return machine.endedMayHaveRun || len(machine.attempts) > 0 || machine.plan.Spent.Total() > 0
 }
 
@@ -191,7 +191,7 @@
 func (machine *Machine) finish(finish Finish) []Action {
 	machine.finished = true
 	machine.endTrial()
-	return []Action{finish.Truthful(machine.Spent())}
+	return []Action{finish.Truthful(machine.MayHaveRun())}
 }
 
 // Gaps returns the services without an answer, for the log.
--- a/reel/query/handover.go
+++ b/reel/query/handover.go
@@ -5,7 +5,7 @@
 func (machine *Machine) Withdraw(wasSent func(attemptID uint64) bool) []string {
 	for id, attempt := range machine.attempts {
 		if wasSent(id) {
-			attempt.part.mayHaveArrived = true
+			attempt.part.mayHaveArrived, machine.endedMayHaveRun = true, true
 		} else {
 			attempt.part.possibleRuns--
 		}
--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -43,7 +43,7 @@
 	attempts        map[uint64]*attempt // attempts in flight by ID
 	nextAttemptID   func() uint64
 	targetError     *Answer // newest error response of a target that may have run the request
-	endedMayHaveRun bool    // whether an attempt that has ended ran or may have run
+	endedMayHaveRun bool    // whether an attempt that has ended, or was withdrawn, ran or may have run
 	finished        bool
 	proven          bool          // whether any target ran the request, which shows that it does not crash each one
 	extras          int           // extra attempts in flight
--- a/reel/query/spending.go
+++ b/reel/query/spending.go
@@ -31,11 +31,11 @@
 	return merged
 }
 
-// Truthful returns the end of a request of which the attempts may have run. An end that says that the request did not run, for whatever
-// reason, leaves it open instead.
-func (finish Finish) Truthful(spending Spending) Finish {
+// Truthful returns the end of a request that may have run or not. If it may, an end that says that it did not run, for whatever reason,
+// leaves that open instead.
+func (finish Finish) Truthful(mayHaveRun bool) Finish {
 	switch {
-	case spending.Total() == 0, finish.Code.Ran() != result.RanNo:
+	case !mayHaveRun, finish.Code.Ran() != result.RanNo:
 	case finish.Code == result.Relayed, finish.Code == result.Canceled: // the answer of a target; nobody waits for an answer
 	default:
 		finish.Code = result.Broken
--- a/reel/query/spending_test.go
+++ b/reel/query/spending_test.go
@@ -126,10 +126,13 @@
 			if once && ran > max(before, 1) {
 				drawn.Fatalf("the request may have run %d times before instance %d and %d times after it", before, instance, ran)
 			}
+			if session.machine.MayHaveRun() != (ran > 0) {
+				drawn.Fatalf("the request may have run: %v, after %d attempts that may have", session.machine.MayHaveRun(), ran)
+			}
 			if spending.Total() != ran {
 				drawn.Fatalf("%v is told as spent, of %d attempts that may have run", spending, ran)
 			}
-			if end := session.finish; end != nil && ran > 0 && end.Truthful(spending).Code.Ran() == result.RanNo {
+			if end := session.finish; end != nil && ran > 0 && end.Truthful(ran > 0).Code.Ran() == result.RanNo {
 				drawn.Fatalf("the request ends with %v (%s) after %d attempts", end.Code, end.Reason, ran)
 			}
 		}
--- a/reel/query/trial.go
+++ b/reel/query/trial.go
@@ -133,7 +133,7 @@
 	if !machine.trial || !machine.plan.Repeatable() || now.Before(machine.trialUntil) {
 		return Finish{}, false
 	}
-	if !machine.mayHaveRun() {
+	if !machine.MayHaveRun() {
 		return machine.failureFinish(reasonTrial), true
 	}
 	return Finish{Code: result.Broken, Reason: reasonTrial}, true
--- a/shallotreel/ingress/handover.go
+++ b/shallotreel/ingress/handover.go
@@ -77,7 +77,12 @@
 	} else {
 		finish = run.handOver(ctx, reason)
 	}
-	return finish.Truthful(run.spending())
+	return finish.Truthful(run.mayHaveRun())
+}
+
+// mayHaveRun reports whether anything of the request may have run, at any instance.
+func (run *run) mayHaveRun() bool {
+	return run.plan.Spent.Total() > 0 || run.helpersSpent.Total() > 0 || run.machine != nil && run.machine.MayHaveRun()
 }
 
 // spending returns all that was spent on the request: here, by earlier instances and by helpers.
@@ -111,7 +116,7 @@
 		run.pathLost = true
 		return &query.Finish{Code: result.NoTarget, Reason: reasonPathBroke, RetryAfter: minPathRetryAfter}
 	}
-	if !run.plan.Repeatable() && run.spending().Total() > 0 {
+	if !run.plan.Repeatable() && run.mayHaveRun() {
 		return &query.Finish{Code: result.Broken, Reason: reasonPathBroke}
 	}
 	now := time.Now()
@@ -233,7 +238,7 @@
 	record := Record{ID: head.ID, CatalogueSerial: view.Serial, CallerTimeout: head.Timeout, Version: view.Configuration.Version, Origin: relayed.Origin}
 	route, ok := view.Configuration.FindRoute(head.Host, head.Path())
 	if !ok {
-		finish := query.Finish{Code: result.UnknownRoute}.Truthful(relayed.Spent)
+		finish := query.Finish{Code: result.UnknownRoute}.Truthful(relayed.Spent.Total() > 0)
 		record.Code = finish.Code
 		handler.recorder.Record(record)
 		return relay.Reply{Code: finish.Code, Version: record.Version, Spent: relayed.Spent}
@@ -249,7 +254,8 @@
 	}
 	run := handler.newRun(start, incoming{request, head, relayed.Body}, plan, record)
 	run.isRelayed = true
-	finish := run.run(ctx).Truthful(run.spending())
+	finish := run.run(ctx)
+	finish = finish.Truthful(run.mayHaveRun())
 	run.recordEnd(finish)
 	return run.replyOf(finish)
 }
