--- a/reel/cursor/drain_test.go
+++ b/reel/cursor/drain_test.go
@@ -1,6 +1,7 @@
 package cursor
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -60,7 +61,7 @@
 			reader := simulation.reader()
 			reader.cutUntil = simulation.Now.Add(milliseconds(50, 4000, "cut"))
 			for range rapid.IntRange(1, 3).Draw(t, "ends") {
-				id := []string{"i-0", "i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8"}[next]
+				id := fmt.Sprint("i-", next)
 				next++
 				isDraining := rapid.Bool().Draw(t, "drains")
 				simulation.Schedule(milliseconds(0, 7000, "ends after"), func() { simulation.endTarget(id, isDraining) })
