Cataloguesync: an answer that comes at the timeout is not read while it is decoded

Cause: Client.Evacuations returned what had been decoded of the answer together with the timeout, while net/rpc may still decode into it. Callers look at the error first, so that nothing used it; the copy itself is the race. Fetch and the relay return an empty reply with an error, and have it not.

Change: an empty reply with each error.

--- a/shallotreel/cataloguesync/cataloguesync.go
+++ b/shallotreel/cataloguesync/cataloguesync.go
@@ -103,10 +103,13 @@
 	var reply EvacuationReply
 	err := client.call(peer, "Copies.Evacuations", true, &reply, timeout, timeout)
 	var refused rpc.ServerError // such as that there is no such method
-	if errors.As(err, &refused) {
+	switch {
+	case errors.As(err, &refused):
 		return EvacuationReply{}, ErrUnsupported
+	case err != nil:
+		return EvacuationReply{}, err // a late answer may still be decoded into reply
 	}
-	return reply, err
+	return reply, nil
 }
 
 // call calls the method of the peer. It waits at most dialTimeout for a connection, and then at most timeout for the reply.
--- a/shallotreel/cataloguesync/cataloguesync_test.go
+++ b/shallotreel/cataloguesync/cataloguesync_test.go
@@ -20,7 +20,10 @@
 		Delta: catalogue.Delta{Serial: query.Serial + 1, Targets: []catalogue.Target{{ID: "one", Address: address}}}}
 }
 
-func (source source) Evacuations() EvacuationReply { return EvacuationReply{} }
+func (source source) Evacuations() EvacuationReply {
+	time.Sleep(source.delay)
+	return EvacuationReply{Age: time.Second, Evacuations: catalogue.EvacuationDelta{States: []catalogue.EvacuationState{{DataCentre: "a"}}}}
+}
 
 func serve(t *testing.T, source Source) netip.AddrPort {
 	t.Helper()
@@ -66,3 +69,18 @@
 		}
 	})
 }
+
+// TestLateEvacuations guards against an answer that arrives at the timeout, and is read while it is still being decoded. Only the race
+// detector sees it.
+func TestLateEvacuations(t *testing.T) {
+	const delay = 2 * time.Millisecond
+	address := serve(t, source{delay})
+	for step := range 300 {
+		client := &Client{}
+		reply, err := client.Evacuations(address, delay+time.Duration(step)*10*time.Microsecond)
+		if err != nil && (reply.Age != 0 || reply.Evacuations.States != nil) {
+			t.Errorf("got %+v with error %v", reply, err)
+		}
+		client.Close()
+	}
+}
