--- a/review/standins-2/proxy.go
+++ b/review/standins-2/proxy.go
@@ -14,11 +14,22 @@
 	mutex sync.Mutex
 	byKey map[string]*proxy // by zone and address
 	modes map[string]string
+	zones map[string]string // by address of a connection to a server
 }
 
-func newProxies() *proxies { return &proxies{byKey: map[string]*proxy{}, modes: map[string]string{}} }
+func newProxies() *proxies {
+	return &proxies{byKey: map[string]*proxy{}, modes: map[string]string{}, zones: map[string]string{}}
+}
+
+// zoneOf returns the zone of the processes behind the connection to a server.
+func (proxies *proxies) zoneOf(address string) string {
+	proxies.mutex.Lock()
+	defer proxies.mutex.Unlock()
+	return proxies.zones[address]
+}
 
 type proxy struct {
+	proxies        *proxies
 	zone, to, addr string
 	mutex          sync.Mutex
 	listener       net.Listener
@@ -44,7 +55,7 @@
 	defer proxies.mutex.Unlock()
 	key := zone + " " + to
 	if proxies.byKey[key] == nil {
-		proxy := &proxy{zone: zone, to: to, conns: map[net.Conn]bool{}}
+		proxy := &proxy{proxies: proxies, zone: zone, to: to, conns: map[net.Conn]bool{}}
 		proxy.listen()
 		proxies.byKey[key] = proxy
 		if mode := proxies.modes[zone]; mode != "" {
@@ -135,6 +146,9 @@
 		conn.Close()
 		return
 	}
+	proxy.proxies.mutex.Lock()
+	proxy.proxies.zones[up.LocalAddr().String()] = proxy.zone
+	proxy.proxies.mutex.Unlock()
 	proxy.mutex.Lock()
 	proxy.conns[conn], proxy.conns[up] = true, true
 	proxy.mutex.Unlock()
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -35,6 +35,7 @@
 	conns    map[net.Conn]bool
 	stamps   atomic.Uint64
 	seq      uint64
+	leaving  atomic.Bool // whether the server says in its answers that it leaves
 	// troubles
 	lose, mute, short, extra atomic.Uint64 // shares of the answers, in thousandths
 	shed                     atomic.Uint64 // share of the requests, in thousandths, that are rejected though there is room
@@ -86,6 +87,7 @@
 type call struct {
 	request *http.Request
 	body    []byte
+	from    string // address of the connection
 }
 
 func (server *server) serve(conn net.Conn) {
@@ -103,7 +105,7 @@
 			if err != nil {
 				return
 			}
-			calls <- call{request, body}
+			calls <- call{request: request, body: body}
 		}
 	}()
 	defer func() {
@@ -138,7 +140,11 @@
 				server.world.sameConn.Add(1)
 			}
 			last = call.request.Header.Get("Request-Id")
+			call.from = conn.RemoteAddr().String()
 			answer := server.handle(call, gone)
+			if answer != nil && server.leaving.Load() {
+				answer = bytes.Replace(answer, []byte("\r\n"), []byte("\r\nServer-Leaving: 1\r\n"), 1)
+			}
 			if answer == nil {
 				return
 			}
@@ -171,6 +177,7 @@
 	if expected := call.request.Header.Get("Expect-Instance"); expected != "" && expected != server.id {
 		return []byte("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: " + id + "\r\nInstance-Id: " + server.id + "\r\nContent-Length: 0\r\n\r\n")
 	}
+	server.world.arrived(id, server, call.from)
 	server.mutex.Lock()
 	if server.running >= server.slots && server.waiting >= server.queue || rand.Uint64N(1000) < server.shed.Load() {
 		load := fmt.Sprintf("%d,%d,%d", server.running, server.waiting, server.slots)
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -20,6 +20,7 @@
 	changed  chan struct{}
 	addr     string
 	server   *http.Server
+	denied   string // zone of the processes that the store turns away
 }
 
 type item struct {
@@ -41,19 +42,27 @@
 }
 
 // viewFor opens a second address of the store, whose items are rewritten.
-func (store *store) viewFor(rewrite func(item) item) string {
+func (store *store) viewFor(zone string, rewrite func(item) item) string {
 	listener, err := net.Listen("tcp", net2+"1:0")
 	check(err)
-	go http.Serve(listener, &view{store, rewrite})
+	go http.Serve(listener, &view{store, zone, rewrite})
 	return listener.Addr().String()
 }
 
 type view struct {
 	*store
+	zone    string
 	rewrite func(item) item
 }
 
 func (view *view) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	view.mutex.Lock()
+	denied := view.denied == view.zone
+	view.mutex.Unlock()
+	if denied {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	view.serve(writer, request, view.rewrite)
 }
 
@@ -151,3 +160,10 @@
 		writer.WriteHeader(http.StatusNotFound)
 	}
 }
+
+// deny makes the store turn away the processes of the zone, and no others; watches that wait are cut.
+func (store *store) deny(zone string) {
+	store.mutex.Lock()
+	store.denied = zone
+	store.mutex.Unlock()
+}
