Connpool: a second copy of a rejection is not read as the next attempt's answer

Cause: all attempts of a request have the same id, which targets echo, so what an answer says cannot tell which attempt it answers.

Change: a request remembers the connections on which it was sent, exact and bounded by its attempts, and the pool gives it none of them again: another idle connection of the target first, then a new one; where neither can be had, the target is not chosen. For requests that may be repeated too, which would run at more targets than the route allows.

--- a/shallotreel/connpool/call.go
+++ b/shallotreel/connpool/call.go
@@ -17,6 +17,7 @@
 	Request         []byte                 // serialized request
 	MaxBody         int64                  // bytes of the response body, 0 for the default
 	RequireFresh    bool                   // whether to avoid connections idle for over a second, which may fail; set for requests that must not be repeated
+	History         *History               // of the request, shared by all of its attempts; nil if it has only one
 	MatchesResponse func(http.Header) bool // reports whether the response with the header answers this request
 	// Refresh returns the serialized request as of now, for a call that had to wait for its connection, or false if it is too late to
 	// send it; nil if Request does not change.
--- a/shallotreel/connpool/connection_test.go
+++ b/shallotreel/connpool/connection_test.go
@@ -243,10 +243,10 @@
 	address := netip.MustParseAddrPort("127.0.0.1:9")
 	pool := NewPool()
 	pool.recordReset(address)
-	if pool.CanStart(time.Now(), address) {
+	if pool.CanStart(time.Now(), address, nil) {
 		t.Error("a call can start on a new connection right after a reset")
 	}
-	if !pool.CanStart(time.Now().Add(2*maxDialBackoff), address) {
+	if !pool.CanStart(time.Now().Add(2*maxDialBackoff), address, nil) {
 		t.Error("no call can start on a new connection after the backoff")
 	}
 }
--- a/shallotreel/connpool/idle.go
+++ b/shallotreel/connpool/idle.go
@@ -6,6 +6,12 @@
 	"time"
 )
 
+// mayServe reports whether the idle connection may serve the call. The caller holds the mutex.
+func (connection *connection) mayServe(now time.Time, call *Call) bool {
+	expired := now.After(connection.expires) || call.RequireFresh && now.Sub(connection.idleAt) > maxFreshIdleTime
+	return !expired && !call.History.contains(connection)
+}
+
 // removeIdle removes the connection from the idle ones. The caller holds the mutex.
 func (pool *Pool) removeIdle(connection *connection) {
 	idle := pool.idle[connection.address]
--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -71,17 +72,18 @@
 	return pool
 }
 
-// CanStart reports whether a call to the target can start now, on an idle connection or on a new one. A new connection
-// is not possible during the backoff after a reset.
-func (pool *Pool) CanStart(now time.Time, address netip.AddrPort) bool {
+// CanStart reports whether a call to the target, of the request with the history, can start now, on an idle connection or on a new one.
+// A new connection is not possible during the backoff after a reset.
+func (pool *Pool) CanStart(now time.Time, address netip.AddrPort, history *History) bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	dialBackoff, ok := pool.backoffs[address]
 	if !ok || !now.Before(dialBackoff.nextDialAt) {
 		return true
 	}
-	idle := pool.idle[address]
-	return len(idle) > 0 && !now.After(idle[len(idle)-1].expires)
+	return slices.ContainsFunc(pool.idle[address], func(connection *connection) bool {
+		return !now.After(connection.expires) && !history.contains(connection)
+	})
 }
 
 // recordReset records that the target reset a new connection, and starts or extends its dial backoff.
@@ -150,11 +152,11 @@
 		return false
 	}
 	connection.call, call.connection, call.sent = call, connection, true
+	call.History.add(connection)
 	return true
 }
 
-// takeIdle assigns the most recently used idle connection to the call. It returns nil if there is none that may be
-// reused.
+// takeIdle assigns to the call the most recently used idle connection that it may use. It returns nil if there is none.
 func (pool *Pool) takeIdle(call *Call) *connection {
 	if pool.excluded(call.Address) {
 		return nil
@@ -163,18 +165,17 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	idle := pool.idle[call.Address]
-	if len(idle) == 0 {
-		return nil
-	}
-	connection := idle[len(idle)-1]
-	if now.After(connection.expires) || call.RequireFresh && now.Sub(connection.idleAt) > maxFreshIdleTime {
-		return nil
-	}
-	if !pool.assign(call, connection) {
-		return nil
+	for i, connection := range slices.Backward(idle) {
+		if !connection.mayServe(now, call) {
+			continue
+		}
+		if !pool.assign(call, connection) {
+			return nil
+		}
+		pool.idle[call.Address] = slices.Delete(idle, i, i+1)
+		return connection
 	}
-	pool.idle[call.Address] = idle[:len(idle)-1]
-	return connection
+	return nil
 }
 
 // connectTo opens a connection to the target within the timeout.
--- a/shallotreel/ingress/admitted_router.go
+++ b/shallotreel/ingress/admitted_router.go
@@ -5,18 +5,20 @@
 
 	"shallotreel.example/reel/catalogue"
 	"shallotreel.example/reel/choice"
+	"shallotreel.example/shallotreel/connpool"
 )
 
 // admittedRouter is the router as one request uses it. It records when no target has free capacity.
 type admittedRouter struct {
 	*Router
-	ticket *ticket
+	ticket  *ticket
+	history *connpool.History // of the request
 }
 
 // Choose picks a target as the router does. A service that has no free capacity although nothing of it was tried shows load, unless its
 // targets take no requests for other reasons.
 func (router *admittedRouter) Choose(now time.Time, route *catalogue.Route, service string, tried []string) (choice.Pick, bool) {
-	pick, ok := router.Router.Choose(now, route, service, tried)
+	pick, ok := router.Router.Choose(now, route, service, tried, router.history)
 	if !ok && len(tried) == 0 && router.ticket != nil && router.isFull(now, service) {
 		router.ticket.noRoomAt(now, service)
 	}
@@ -29,7 +31,7 @@
 		return false
 	}
 	for _, target := range router.catalogue.View().Targets(service) {
-		if router.pool.CanStart(now, target.Address) {
+		if router.pool.CanStart(now, target.Address, nil) {
 			return true
 		}
 	}
--- a/shallotreel/ingress/end_test.go
+++ b/shallotreel/ingress/end_test.go
@@ -154,8 +154,8 @@
 				}
 				time.Sleep(lateAnswerWait) // what the end has started ends
 			}
-			fixture.handler.router.Choose(time.Now(), &fixture.view.Configuration.Routes[0], "desk", nil) // may be a probe
-			pick, ok := fixture.handler.router.Choose(time.Now(), &fixture.view.Configuration.Routes[0], "desk", nil)
+			fixture.handler.router.Choose(time.Now(), &fixture.view.Configuration.Routes[0], "desk", nil, nil) // may be a probe
+			pick, ok := fixture.handler.router.Choose(time.Now(), &fixture.view.Configuration.Routes[0], "desk", nil, nil)
 			if !ok || pick.Grade != test.grade {
 				t.Errorf("overload %v: the target is %q, want %q", test.overload, pick.Grade, test.grade)
 			}
--- a/shallotreel/ingress/evacuation_test.go
+++ b/shallotreel/ingress/evacuation_test.go
@@ -27,7 +27,7 @@
 		t.Errorf("%d attempts, want one that is not sent and another one", attempts)
 	}
 	now := time.Now()
-	pick, ok := fixture.handler.router.Choose(now, &fixture.view.Configuration.Routes[0], "desk", nil)
+	pick, ok := fixture.handler.router.Choose(now, &fixture.view.Configuration.Routes[0], "desk", nil, nil)
 	if !ok || pick.Grade != "good" {
 		t.Errorf("after the evacuation the target is picked: %t, as %s", ok, pick.Grade)
 	}
--- a/shallotreel/ingress/router.go
+++ b/shallotreel/ingress/router.go
@@ -85,14 +85,15 @@
 	router.updateSenders(time.Now())
 }
 
-// Choose picks a target of the service that has free capacity and was not tried; it reports false if there is none.
-func (router *Router) Choose(now time.Time, route *catalogue.Route, service string, tried []string) (choice.Pick, bool) {
+// Choose picks a target of the service that has free capacity for the request with the history and was not tried; it reports false if
+// there is none.
+func (router *Router) Choose(now time.Time, route *catalogue.Route, service string, tried []string, history *connpool.History) (choice.Pick, bool) {
 	view := router.catalogue.View()
 	router.mutex.Lock()
 	defer router.unlockAndNotify()
 	router.selector.SetReturns(view)
 	router.noteEvacuations(view)
-	hasCapacity := func(target catalogue.Target) bool { return router.pool.CanStart(now, target.Address) }
+	hasCapacity := func(target catalogue.Target) bool { return router.pool.CanStart(now, target.Address, history) }
 	return router.selector.Choose(now, route, view.Targets(service), view.Configuration.Services[service], tried, hasCapacity)
 }
 
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -40,6 +40,7 @@
 	record         Record
 	machine        *query.Machine
 	calls          map[uint64]*connpool.Call // open calls by attempt id
+	history        connpool.History          // of all attempts
 	answers        chan *query.Answer
 	attemptIndexes map[uint64]int // index in record.Attempts by attempt id
 	answered       atomic.Bool    // whether any target has run the request
@@ -64,7 +65,7 @@
 	if refusal := run.admit(ctx); refusal != nil {
 		return *refusal
 	}
-	run.machine = query.New(run.plan, decisions{&admittedRouter{run.handler.router, run.ticket}, run.handler.crashes}, run.handler.router.NextAttemptID)
+	run.machine = query.New(run.plan, decisions{&admittedRouter{run.handler.router, run.ticket, &run.history}, run.handler.crashes}, run.handler.router.NextAttemptID)
 	run.wave = rand.Uint64()
 	run.answers = make(chan *query.Answer, answerBufferPerService*(len(run.plan.Services)+1))
 	run.attemptIndexes = map[uint64]int{}
@@ -175,7 +176,7 @@
 		Target: target, Wave: run.wave + uint64(send.Generation), SentAt: now,
 		Suspicion: suspicion})
 	call := &connpool.Call{Address: target.Address, Method: run.outbound.Method, MaxBody: maxBody(run.plan.Route), RequireFresh: !run.plan.Repeatable(),
-		Request: run.outbound.EncodeAttempt(target.ID, send.Deadline.Sub(now)), MatchesResponse: run.outbound.EchoedIn}
+		Request: run.outbound.EncodeAttempt(target.ID, send.Deadline.Sub(now)), History: &run.history, MatchesResponse: run.outbound.EchoedIn}
 	call.Refresh = func(now time.Time) ([]byte, bool) {
 		left := send.Deadline.Sub(now)
 		return run.outbound.EncodeAttempt(target.ID, left), left > 0
