Connpool: an answer is read although a late copy of the one before it comes first

Cause: the pool ended the call at the first answer that names another request, though "An extra response may arrive late, at the point where the next response is expected. The ID identifies it." A connection retires when a copy arrives while it is idle; with the next answer, or in the moment between its assignment and its reader's look, the copy cost the call its answer.

Change: a connection remembers the last request that it carried. A complete answer that names that one is skipped, four at most, its report on the target unheard, and the connection is not used again. Any other foreign answer still ends the call at once, as do copies that close the connection, break off, or have another framing (HEAD): nothing shows that the call's answer follows them.

--- a/shallotreel/connpool/call.go
+++ b/shallotreel/connpool/call.go
@@ -12,13 +12,14 @@
 
 // Call is one request to a target.
 type Call struct {
-	Address         netip.AddrPort         // of the target
-	Method          string                 // HTTP method of the request
-	Request         []byte                 // serialized request
-	MaxBody         int64                  // bytes of the response body, 0 for the default
-	RequireFresh    bool                   // whether to avoid connections idle for over a second, which may fail; set for requests that must not be repeated
-	History         *History               // of the request, shared by all of its attempts; nil if it has only one
-	MatchesResponse func(http.Header) bool // reports whether the response with the header answers this request
+	Address      netip.AddrPort           // of the target
+	Method       string                   // HTTP method of the request
+	Request      []byte                   // serialized request
+	ID           string                   // of the request, the same for all of its attempts
+	EchoedID     func(http.Header) string // returns the ID of the request that a response answers, "" if the header names none
+	History      *History                 // of the request, shared by all of its attempts; nil if it has only one
+	MaxBody      int64                    // bytes of the response body, 0 for the default
+	RequireFresh bool                     // whether to avoid connections idle for over a second, which may fail; set for requests that must not be repeated
 	// Refresh returns the serialized request as of now, for a call that had to wait for its connection, or false if it is too late to
 	// send it; nil if Request does not change.
 	Refresh func(now time.Time) ([]byte, bool)
--- a/shallotreel/connpool/connection.go
+++ b/shallotreel/connpool/connection.go
@@ -24,6 +24,9 @@
 	maxInlineWrite     = 8 << 10 // bytes that fit in the socket's send buffer, so that the write does not block
 )
 
+// errForeignResponse is the error of a call that got the response to another request.
+var errForeignResponse = errors.New("the response names another request")
+
 // connection is a connection to a target. The pool's mutex guards its mutable fields except the atomic one.
 type connection struct {
 	pool     *Pool
@@ -37,6 +40,8 @@
 	written  atomic.Bool // whether the whole request was written
 	expires  time.Time   // time after which the idle connection is not reused
 	idleAt   time.Time   // when the connection became idle
+	last     exchange    // the last one that is complete; written by the reading goroutine alone
+	extras   int         // extra responses that were skipped; used by the reading goroutine alone
 }
 
 func newConnection(pool *Pool, address netip.AddrPort, conn net.Conn) *connection {
@@ -95,16 +100,17 @@
 			connection.fail(call, errors.Wrap(err, "wait for response"))
 			return
 		}
-		response, body, err := connection.readResponse(call)
-		if err != nil {
-			connection.fail(call, err)
+		response, body, err := connection.readOwnResponse(call)
+		if errors.Is(err, errForeignResponse) {
+			call.finish(Result{Sent: true, Err: err})
 			return
 		}
-		if !call.MatchesResponse(response.Header) {
-			call.finish(Result{Sent: true, Err: errors.New("the response names another request")})
+		if err != nil {
+			connection.fail(call, err)
 			return
 		}
-		keep := !response.Close && connection.written.Load() && connection.reader.Buffered() == 0
+		connection.last = exchange{call.ID, call.Method}
+		keep := !response.Close && connection.extras == 0 && connection.written.Load() && connection.reader.Buffered() == 0
 		if keep {
 			keep = connection.pool.release(connection, idleTimeout(response.Header))
 		}
@@ -115,6 +121,26 @@
 	}
 }
 
+// readOwnResponse reads the response that names the request of the call, and skips extra ones to the request before it. The error is
+// errForeignResponse for any other response.
+func (connection *connection) readOwnResponse(call *Call) (*http.Response, []byte, error) {
+	for {
+		response, body, err := connection.readResponse(call)
+		if err != nil {
+			return nil, nil, err
+		}
+		id := call.EchoedID(response.Header)
+		if id == call.ID {
+			return response, body, nil
+		}
+		if connection.extras == maxExtraResponses || !connection.last.isExtra(call, response, id) {
+			return nil, nil, errForeignResponse
+		}
+		connection.extras++
+		connection.pool.extras.Add(1)
+	}
+}
+
 // fail ends the call whose connection broke. Unless this instance closed the connection, it first finds out whether the
 // target's process still listens.
 func (connection *connection) fail(call *Call, err error) {
--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,8 +32,9 @@
 	probes   map[netip.AddrPort]time.Time     // last probe by address
 	backoffs map[netip.AddrPort]*dialBackoff  // targets that reset a connection and have not answered on a new one since
 	memory   memory
-	open     int    // open connections
-	dials    uint64 // connections ever opened
+	open     int           // open connections
+	dials    uint64        // connections ever opened
+	extras   atomic.Uint64 // see ExtraResponses
 	connect  Dial
 	excluded func(netip.AddrPort) bool // see WithExclusion
 	// acceptanceWait is the time within which a target at its connection limit, or whose process ends, resets a connection.
@@ -360,3 +362,6 @@
 	defer pool.mutex.Unlock()
 	return pool.open, pool.dials
 }
+
+// ExtraResponses returns how many late copies of a response were skipped before the response of the next call.
+func (pool *Pool) ExtraResponses() uint64 { return pool.extras.Load() }
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -304,6 +304,7 @@
 	open, dials := front.pool.Counts()
 	front.scope.Gauge("target_connections").Update(float64(open))
 	front.scope.Gauge("target_dials").Update(float64(dials))
+	front.scope.Gauge("extra_responses").Update(float64(front.pool.ExtraResponses()))
 	front.scope.Gauge("response_bytes_pending").Update(float64(front.pool.PendingBytes()))
 	front.scope.Gauge("store_calls").Update(float64(front.feed.StoreCalls()))
 	front.scope.Gauge("members").Update(float64(len(front.roster.Members())))
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -176,7 +176,8 @@
 		Target: target, Wave: run.wave + uint64(send.Generation), SentAt: now,
 		Suspicion: suspicion})
 	call := &connpool.Call{Address: target.Address, Method: run.outbound.Method, MaxBody: maxBody(run.plan.Route), RequireFresh: !run.plan.Repeatable(),
-		Request: run.outbound.EncodeAttempt(target.ID, send.Deadline.Sub(now)), History: &run.history, MatchesResponse: run.outbound.EchoedIn}
+		Request: run.outbound.EncodeAttempt(target.ID, send.Deadline.Sub(now)), ID: run.outbound.ID, EchoedID: platform.EchoedID,
+		History: &run.history}
 	call.Refresh = func(now time.Time) ([]byte, bool) {
 		left := send.Deadline.Sub(now)
 		return run.outbound.EncodeAttempt(target.ID, left), left > 0
