Connpool: a connection is not used again after a request without an id

Found on the related paths of the late copies: an answer that names no request matched any request without an id, a late copy of an earlier one too.

Change: the connection on which such a request was answered is closed. Evidence: TestRequestWithoutID, red before (three requests on one connection), passes. Requests with an id are not touched.

--- a/shallotreel/connpool/connection.go
+++ b/shallotreel/connpool/connection.go
@@ -110,7 +110,7 @@
 			return
 		}
 		connection.last = exchange{call.ID, call.Method}
-		keep := !response.Close && connection.extras == 0 && connection.written.Load() && connection.reader.Buffered() == 0
+		keep := !response.Close && connection.isClean(call)
 		if keep {
 			keep = connection.pool.release(connection, idleTimeout(response.Header))
 		}
@@ -121,6 +121,12 @@
 	}
 }
 
+// isClean reports whether nothing that belongs to the call, which is answered, can reach the next one on the connection.
+func (connection *connection) isClean(call *Call) bool {
+	identified := call.ID != "" // otherwise a late copy of its response would answer the next call that has no ID
+	return identified && connection.extras == 0 && connection.written.Load() && connection.reader.Buffered() == 0
+}
+
 // readOwnResponse reads the response that names the request of the call, and skips extra ones to the request before it. The error is
 // errForeignResponse for any other response.
 func (connection *connection) readOwnResponse(call *Call) (*http.Response, []byte, error) {
--- a/shallotreel/connpool/exchange_test.go
+++ b/shallotreel/connpool/exchange_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 )
 
@@ -80,3 +81,22 @@
 	assertBody(t, await(t, results), "")
 	assertSentError(t, roundTrip(t, pool, address, "second"))
 }
+
+// TestRequestWithoutID guards against a late copy of the response to a request that has no ID, which answers another one that has none.
+func TestRequestWithoutID(t *testing.T) {
+	var requests atomic.Int64
+	address := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		for last := ""; ; {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", requests.Add(1))
+			fmt.Fprint(conn, last, response)
+			last = response
+		}
+	})
+	pool := NewPool()
+	for _, want := range []string{"1", "2", "3"} {
+		assertBody(t, roundTrip(t, pool, address, ""), want)
+	}
+}
