Connpool: a status line that is none ends the call at once

Callers saw, with odd status lines on one answer in ten: 504 at the deadline to a POST for 000, -00, +20 and 099, in place of 502 at once; status 600 and 999 as the targets sent them; HTTP/9.9 200 and HTTP/0.9 200 as a success.

Cause: net/http reads any three characters that make a number as a status, and any digits as a version. The pool took all below 200 but 101 for interim answers, whose number had no limit, and all others for answers. Replies of other instances and answers of the store had no check of their own; a status outside of 100 to 999 would make net/http panic in the front and close the caller's connection.

A broken head may have run and ends the call and its connection at once.

--- a/shallotreel/connpool/connection.go
+++ b/shallotreel/connpool/connection.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"shallotreel.example/reel/statusline"
 )
 
 const (
@@ -22,11 +24,16 @@
 	acceptanceWait     = 5 * time.Millisecond
 	idleTimeoutFactor  = 0.7     // share of the target's idle timeout for which a connection is reused
 	maxInlineWrite     = 8 << 10 // bytes that fit in the socket's send buffer, so that the write does not block
+
+	maxInterimResponses = 8 // before a final response
 )
 
 // errForeignResponse is the error of a call that got the response to another request.
 var errForeignResponse = errors.New("the response names another request")
 
+// errTooManyInterim is the error of a call whose target sends more interim responses than allowed.
+var errTooManyInterim = errors.New("too many interim responses")
+
 // connection is a connection to a target. The pool's mutex guards its mutable fields except the atomic one.
 type connection struct {
 	pool     *Pool
@@ -157,25 +164,37 @@
 	call.finish(result)
 }
 
-// readResponse reads a complete response and skips informational (1xx) ones.
+// readResponse reads a complete response and skips the interim ones before it.
 func (connection *connection) readResponse(call *Call) (*http.Response, []byte, error) {
 	connection.limiter.beginHead()
-	for {
+	response, err := connection.readFinalHead(call)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "read response header")
+	}
+	connection.limiter.beginBody()
+	body, err := connection.pool.memory.readBody(response, cmp.Or(call.MaxBody, defaultMaxBody))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "read response body")
+	}
+	connection.limiter.beginHead() // also for bytes that arrive without a request
+	return response, body, nil
+}
+
+// readFinalHead reads heads of responses until one is not interim. The error wraps statusline.ErrInvalid if one of them is none.
+func (connection *connection) readFinalHead(call *Call) (*http.Response, error) {
+	for range maxInterimResponses + 1 {
 		response, err := http.ReadResponse(connection.reader, &http.Request{Method: call.Method})
 		if err != nil {
-			return nil, nil, errors.Wrap(err, "read response header")
+			return nil, err
 		}
-		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
-			continue
+		if err := statusline.Check(response); err != nil {
+			return nil, err
 		}
-		connection.limiter.beginBody()
-		body, err := connection.pool.memory.readBody(response, cmp.Or(call.MaxBody, defaultMaxBody))
-		if err != nil {
-			return nil, nil, errors.Wrap(err, "read response body")
+		if !statusline.IsInterim(response.StatusCode) {
+			return response, nil
 		}
-		connection.limiter.beginHead() // also for bytes that arrive without a request
-		return response, body, nil
 	}
+	return nil, errTooManyInterim
 }
 
 // idleTimeout returns for how long an idle connection may be reused, which is derived from the timeout parameter of the
--- a/shallotreel/ingress/handover.go
+++ b/shallotreel/ingress/handover.go
@@ -13,6 +13,7 @@
 	"shallotreel.example/reel/extra"
 	"shallotreel.example/reel/query"
 	"shallotreel.example/reel/result"
+	"shallotreel.example/reel/statusline"
 	"shallotreel.example/shallotreel/connpool"
 	"shallotreel.example/shallotreel/relay"
 )
@@ -31,12 +32,13 @@
 
 // Reasons for handing a request over.
 const (
-	reasonPathLost     = "this instance reaches no target"
-	reasonPathBroke    = "this instance lost its path to the targets meanwhile"
-	reasonOutdated     = "helpers have served by a newer configuration"
-	reasonNoHelper     = "this instance reaches no target, and no other instance can help"
-	reasonHelperLost   = "the helper gave no answer"
-	reasonUnaffordable = "the budget for retries and hedges does not allow to go on at another instance"
+	reasonPathLost      = "this instance reaches no target"
+	reasonPathBroke     = "this instance lost its path to the targets meanwhile"
+	reasonOutdated      = "helpers have served by a newer configuration"
+	reasonNoHelper      = "this instance reaches no target, and no other instance can help"
+	reasonHelperLost    = "the helper gave no answer"
+	reasonInvalidStatus = "the answer of the helper has no valid status"
+	reasonUnaffordable  = "the budget for retries and hedges does not allow to go on at another instance"
 )
 
 // Helpers serves requests by way of other instances.
@@ -196,11 +198,15 @@
 	return min(max(handler.path.LostFor(time.Now()), minPathRetryAfter), maxPathRetryAfter)
 }
 
-// finishOf returns the end of a request by the reply of a helper.
+// finishOf returns the end of a request by the reply of a helper, which may be of another build.
 func finishOf(reply relay.Reply) query.Finish {
+	passesOn := reply.Status != 0 || reply.Code == result.Relayed
+	if passesOn && !statusline.IsFinal(reply.Status) {
+		return query.Finish{Code: result.Broken, Reason: reasonInvalidStatus}
+	}
 	finish := query.Finish{Code: reply.Code, Reason: reply.Reason, RetryAfter: reply.RetryAfter, Signatures: reply.Signatures,
 		Missing: reply.Missing, Body: reply.Body}
-	if reply.Status != 0 {
+	if passesOn {
 		finish.Answer = &query.Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body}
 	}
 	return finish
--- a/shallotreel/ingress/late_copy_test.go
+++ b/shallotreel/ingress/late_copy_test.go
@@ -12,9 +12,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
-
-	"shallotreel.example/reel/catalogue"
 )
 
 // copyingTargets are targets that reject some requests. When a request arrives again on a connection, they first send a second copy of the
@@ -33,29 +30,12 @@
 	return targets.random.Float64() < probability
 }
 
-// listen starts a target and returns its address.
 func (targets *copyingTargets) listen(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go targets.serve(conn)
-		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	return listenRaw(t, targets.serve)
 }
 
 // serve answers the requests on the connection until it closes.
 func (targets *copyingTargets) serve(conn net.Conn) {
-	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	earlier := map[string]string{} // responses by ID of the request
 	for {
@@ -92,16 +72,7 @@
 func TestLateCopyOfRejection(t *testing.T) {
 	const requests, callers = 600, 6
 	targets := &copyingTargets{random: rand.New(rand.NewPCG(52, 1)), runs: map[string]int{}}
-	route := writeRoute
-	route.Name, route.Host, route.Prefix, route.Timeout, route.Goal = "r", "h.example", "/x/", 5*time.Second, 2*time.Second
-	targetCatalogue := catalogue.New()
-	for i := range 3 {
-		targetCatalogue.Register(catalogue.Target{ID: "in-" + strconv.Itoa(i), Service: "desk", DataCentre: "a", Slots: 8, Address: targets.listen(t)})
-	}
-	services := []catalogue.Service{{Name: "desk", MaxConnections: 100}}
-	targetCatalogue.Configure(catalogue.NewConfiguration(1, []catalogue.Route{route}, services, catalogue.Limits{BodyBytes: 100}))
-	fixture := &fixture{records: &records{}}
-	fixture.serve(targetCatalogue)
+	fixture := newFixtureAt(t, writeRoute, targets.listen(t), targets.listen(t), targets.listen(t))
 
 	var group sync.WaitGroup
 	statuses := make([]int, requests)
