Ingress: bodies of callers that are not complete are bounded in memory, all together

Callers would see an instance run out of memory: 150 bodies of 900 KiB, each within its limit and short of its last byte, take 180 MB (test), where sites give an instance 160 to 536 MB. Found on the way through all reads that bytes without end can reach (users' report).

Cause: a body was bounded by the configuration alone, not together with others, and is read before admission.

A body of a stated length counts no more than that length, also for answers, so that ordinary ones count as little as they take.

--- a/shallotreel/connpool/connection.go
+++ b/shallotreel/connpool/connection.go
@@ -188,6 +188,9 @@
 	if response.ContentLength > limit {
 		return nil, intake.ErrTooLong
 	}
+	if response.ContentLength >= 0 {
+		limit = response.ContentLength
+	}
 	return connection.pool.budget.ReadAll(response.Body, limit)
 }
 
--- /dev/null
+++ b/shallotreel/ingress/body_test.go
@@ -0,0 +1,72 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+)
+
+// heapBytes returns the size of all objects that are in use.
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// TestManyBodiesOfCallers guards against the memory that many bodies of callers take together, each of which is within its limit and not
+// complete, while ordinary requests are served as ever.
+func TestManyBodiesOfCallers(t *testing.T) {
+	const callers, sent = 150, 900 << 10
+	fixture := newFixtureAt(t, writeRoute, listenRaw(t, answerWith("HTTP/1.1 200 OK")))
+	server := httptest.NewServer(fixture.handler)
+	t.Cleanup(server.Close)
+	before := heapBytes()
+	var conns []net.Conn
+	refused := make(chan int, callers)
+	for range callers {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		conns = append(conns, conn)
+		go func() {
+			fmt.Fprintf(conn, "POST /x/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: long\r\nDeadline-Ms: 60000\r\nContent-Length: %d\r\n\r\n%s", sent+1, strings.Repeat("x", sent))
+		}()
+		go func() {
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil {
+				refused <- response.StatusCode
+			}
+		}()
+	}
+	time.Sleep(500 * time.Millisecond) // most bodies are read but for their last byte
+	if grown := heapBytes() - before; grown > 2*maxPendingBodies {
+		t.Errorf("%d bodies that are not complete take %d bytes, want %d at most", callers, grown, 2*maxPendingBodies)
+	}
+	recorder := fixture.request(http.MethodPost, "/x/a", "w")
+	assertStatus(t, recorder, http.StatusOK)
+	select {
+	case status := <-refused:
+		if status != http.StatusServiceUnavailable {
+			t.Errorf("a body that is too much is answered with status %d, want 503", status)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("no caller was refused")
+	}
+	for _, conn := range conns {
+		conn.Close()
+	}
+	for deadline := time.Now().Add(5 * time.Second); fixture.handler.bodies.Held() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes are still counted", fixture.handler.bodies.Held())
+		}
+	}
+}
--- a/shallotreel/ingress/fingerprint_test.go
+++ b/shallotreel/ingress/fingerprint_test.go
@@ -9,6 +9,7 @@
 	"shallotreel.example/platform"
 	"shallotreel.example/reel/catalogue"
 	"shallotreel.example/reel/quarantine"
+	"shallotreel.example/shallotreel/intake"
 )
 
 // fingerprint returns the fingerprint of a request with the body and header; length is its length, or -1 if it is sent
@@ -18,9 +19,10 @@
 	request := httptest.NewRequest(method, path, strings.NewReader(body))
 	request.Header, request.ContentLength = header, length
 	request.RequestURI = path
-	read, code := readBody(httptest.NewRecorder(), request, catalogue.Limits{BodyBytes: 1 << 20})
-	if code != 0 {
-		t.Fatalf("the body is rejected with code %v", code)
+	handler := &Handler{bodies: intake.NewBudget(maxPendingBodies)}
+	read, refusal := handler.readBody(httptest.NewRecorder(), request, catalogue.Limits{BodyBytes: 1 << 20})
+	if refusal != nil {
+		t.Fatalf("the body is refused: %+v", refusal)
 	}
 	return fingerprintOf(request, platform.ParseRequestHead(request), read)
 }
--- a/shallotreel/ingress/handler.go
+++ b/shallotreel/ingress/handler.go
@@ -1,8 +1,6 @@
 package ingress
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -14,6 +12,7 @@
 	"shallotreel.example/reel/result"
 	"shallotreel.example/shallotreel/connpool"
 	"shallotreel.example/shallotreel/crashwatch"
+	"shallotreel.example/shallotreel/intake"
 	"shallotreel.example/shallotreel/reachwatch"
 	"shallotreel.example/shallotreel/relay"
 )
@@ -21,8 +20,6 @@
 const (
 	// notReadyRetryAfter is the Retry-After of an instance that is starting, and has no configuration or no marks yet.
 	notReadyRetryAfter = 200 * time.Millisecond
-	// defaultMaxBody is the limit of a request body in bytes if the configuration sets none.
-	defaultMaxBody = 1 << 20
 )
 
 // Handler is the HTTP handler for callers' requests.
@@ -42,6 +39,7 @@
 	relaysRefused      atomic.Bool  // whether no more requests of other instances are served
 	helpersVersion     versionFloor // newest configuration by which helpers have served callers of this instance
 	lifetime           *lifetime
+	bodies             *intake.Budget            // of callers' requests
 	answerBy           atomic.Pointer[time.Time] // when the last answers must be written, nil unless the process stops
 }
 
@@ -94,7 +92,7 @@
 func New(catalogue Registry, router *Router, pool *connpool.Pool, crashes *crashwatch.Watch, path *reachwatch.Watch,
 	helpers Helpers, recorder Recorder, options ...Option) *Handler {
 	handler := &Handler{catalogue: catalogue, router: router, pool: pool, crashes: crashes, path: path, helpers: helpers, recorder: recorder,
-		admission: silentAdmission(), lifetime: newLifetime()}
+		admission: silentAdmission(), lifetime: newLifetime(), bodies: intake.NewBudget(maxPendingBodies)}
 	for _, option := range options {
 		option(handler)
 	}
@@ -137,9 +135,9 @@
 		return
 	}
 	record.Route, record.Goal = route.Name, route.Goal
-	body, code := readBody(writer, request, view.Configuration.Limits)
-	if code != result.OK {
-		handler.refuse(writer, start, record, query.Finish{Code: code})
+	body, refusal := handler.readBody(writer, request, view.Configuration.Limits)
+	if refusal != nil {
+		handler.refuse(writer, start, record, *refusal)
 		return
 	}
 	plan := handler.plan(start, requestHead, route)
@@ -182,26 +180,6 @@
 		Deadline: start.Add(timeout)}
 }
 
-// readBody reads the body of the request, up to the limit of the configuration.
-func readBody(writer http.ResponseWriter, request *http.Request, limits catalogue.Limits) ([]byte, result.Code) {
-	if request.ContentLength == 0 {
-		return nil, result.OK
-	}
-	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, result.TooLarge
-	case err != nil:
-		return nil, result.BadRequest
-	}
-	return body, result.OK
-}
-
 // refuse ends a request for which no attempt is made.
 func (handler *Handler) refuse(writer http.ResponseWriter, start time.Time, record Record, finish query.Finish) {
 	handler.write(writer, finish)
--- a/shallotreel/ingress/raw_target_test.go
+++ b/shallotreel/ingress/raw_target_test.go
@@ -46,7 +46,7 @@
 	for i, address := range addresses {
 		targetCatalogue.Register(catalogue.Target{ID: "in-" + strconv.Itoa(i), Service: names[i%len(names)], DataCentre: "a", Slots: 8, Address: address})
 	}
-	targetCatalogue.Configure(catalogue.NewConfiguration(1, []catalogue.Route{route}, services, catalogue.Limits{BodyBytes: 100}))
+	targetCatalogue.Configure(catalogue.NewConfiguration(1, []catalogue.Route{route}, services, catalogue.Limits{}))
 	fixture := &fixture{records: &records{}}
 	fixture.serve(targetCatalogue)
 	return fixture
--- a/shallotreel/intake/budget.go
+++ b/shallotreel/intake/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
@@ -53,15 +54,16 @@
 // Release ends the count of so many bytes.
 func (budget *Budget) Release(size int) { budget.held.Add(int64(-size)) }
 
-// ReadAll reads everything up to the end, which it counts until then. It allocates as the bytes arrive. The error is ErrTooLong for more
-// than limit bytes, or ErrExhausted.
+// ReadAll reads everything up to the end, which it counts until then. It allocates as the bytes arrive, little more than limit in all. The
+// error is ErrTooLong for more than limit bytes, or ErrExhausted.
 func (budget *Budget) ReadAll(reader io.Reader, limit int64) ([]byte, error) {
+	limit = min(limit, math.MaxInt64-1)
 	held := 0
 	defer func() { budget.Release(held) }()
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			size := max(firstBodyBytes, 2*held)
+			size := int(min(int64(max(firstBodyBytes, 2*held)), limit+1)) // one more, to see the end
 			if !budget.Grow(held, size, FreeBodyBytes) {
 				return nil, ErrExhausted
 			}
