--- a/reel/target/client.go
+++ b/reel/target/client.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	maxReplySize   = 4 << 20 // bytes
+	maxHeadSize    = 64 << 10 // bytes of a reply's status line and header
+	maxReplySize   = 4 << 20  // bytes
 	dialTimeout    = 500 * time.Millisecond
 	idleTimeout    = 90 * time.Second
 	controlTimeout = 2 * time.Second // of a cancellation or a report
@@ -44,6 +45,8 @@
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadSize,
 	}
 	client.http = &http.Client{Transport: client.transport}
 	return client
--- a/reel/target/client_test.go
+++ b/reel/target/client_test.go
@@ -6,11 +6,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -172,3 +174,33 @@
 		})
 	}
 }
+
+// TestHeadWithoutEnd guards against a target that sends a head without end, of which much is kept for each connection.
+func TestHeadWithoutEnd(t *testing.T) {
+	const most = 8 << 20 // bytes, with those in the sockets' buffers
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	taken := make(chan int, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		total, err := fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n")
+		for lines := strings.Repeat("X: y\r\n", 2<<10); err == nil; {
+			var size int
+			size, err = fmt.Fprint(conn, lines)
+			total += size
+		}
+		taken <- total
+	}()
+	_, err = NewClient(addressOf(listener), 1).Run(t.Context(), request(1))
+	assertCode(t, err, result.Broken, result.RanUnknown)
+	if total := <-taken; total > most {
+		t.Errorf("%d bytes were taken, want %d at most", total, most)
+	}
+}
