Ingress: a test of answers that trickle without end

Asked for by the users' report of bytes without end: answers that go on so slowly that no limit of their size is reached. Shown to hold on this code and nothing changed: requests end at their deadline (504, or without the part), nine interim answers end theirs with 502, and the memory of the answer is given back. TestTricklingTargets, 15 rows, each passes; not red before, since it found no fault.

--- a/shallotreel/ingress/report_test.go
+++ b/shallotreel/ingress/report_test.go
@@ -1,10 +1,13 @@
 package ingress
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"shallotreel.example/reel/catalogue"
 )
@@ -115,6 +118,63 @@
 	}
 }
 
+// trickle returns a target that answers with the beginning and then, byte by byte, the rest again and again.
+func trickle(beginning, rest string) func(net.Conn) {
+	return func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, err := fmt.Fprint(conn, beginning)
+		for i := 0; err == nil; i++ {
+			_, err = fmt.Fprint(conn, string(rest[i%len(rest)]))
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// TestTricklingTargets guards against a target whose answer goes on without end, so slowly that no limit of its size is reached: it must keep
+// neither the request beyond its deadline, nor its connection or memory.
+func TestTricklingTargets(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nServer-Stamp: stamp\r\n"
+	partial := shardRoute
+	partial.LeastShare = 0.5
+	for _, test := range []struct {
+		name, beginning, rest string
+		failure               int // status of a request that needs the answer
+	}{
+		{"status line", "", "HTTP/1.1 200 OK ", http.StatusGatewayTimeout},
+		{"header", head, "X: y\r\n", http.StatusGatewayTimeout},
+		{"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n", http.StatusBadGateway}, // more than are allowed
+		{"body", head + "\r\n", "0123456789abcdef", http.StatusGatewayTimeout},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n", http.StatusGatewayTimeout},
+	} {
+		for _, want := range []struct {
+			name   string
+			route  catalogue.Route
+			status int
+		}{
+			{"a request that may be repeated", singleRoute, test.failure},
+			{"one that may not", writeRoute, test.failure},
+			{"a part may be missing", partial, http.StatusOK},
+		} {
+			t.Run(test.name+", "+want.name, func(t *testing.T) {
+				t.Parallel()
+				fixture := newFixtureAt(t, want.route, listenRaw(t, trickle(test.beginning, test.rest)), listenRaw(t, answerWith("HTTP/1.1 200 OK")))
+				if len(want.route.Shards) == 0 {
+					fixture = newFixtureAt(t, want.route, listenRaw(t, trickle(test.beginning, test.rest)))
+				}
+				assertStatus(t, fixture.request(http.MethodGet, "/x/a", ""), want.status)
+				pool := fixture.handler.pool
+				for deadline := time.Now().Add(5 * time.Second); pool.PendingBytes() > 0; time.Sleep(time.Millisecond) {
+					if time.Now().After(deadline) {
+						t.Fatalf("%d bytes are still counted after the request", pool.PendingBytes())
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestUnsignedResults guards against a target whose results nobody can use and that is asked as often as sound ones.
 func TestUnsignedResults(t *testing.T) {
 	fixture := newFixture(t, singleRoute, func(writer http.ResponseWriter, _ *http.Request) { fmt.Fprint(writer, "a result") })
