Ingress: the log of an attempt names its connection

`connection` is the number of the connection within the process. Evidence: TestLaterAttemptOfRequest wants the numbers 1 to 5 for five attempts.

--- a/reel/query/messages.go
+++ b/reel/query/messages.go
@@ -79,6 +79,8 @@
 	Body      []byte
 	Signature string // signature of the target, empty if the response carries none
 	Cause     string // why there is no usable response
+	// Connection is the host's number of the connection that the attempt was sent on, for the log; 0 if none is known.
+	Connection uint64
 }
 
 // Complete reports whether a complete response of the target arrived.
--- a/shallotreel/connpool/call.go
+++ b/shallotreel/connpool/call.go
@@ -39,6 +39,8 @@
 	Response *http.Response // nil if Err is not nil
 	Body     []byte         // complete body of the response
 	Err      error          // nil if the response is complete and names the request
+	// Connection is the number of the connection that the request was sent on, unique within the pool; 0 if none is known.
+	Connection uint64
 }
 
 // Listens says whether a target accepts connections.
--- a/shallotreel/connpool/connection.go
+++ b/shallotreel/connpool/connection.go
@@ -39,6 +39,7 @@
 type connection struct {
 	pool     *Pool
 	address  netip.AddrPort
+	number   uint64 // unique within the pool
 	conn     net.Conn
 	limiter  *headLimiter
 	reader   *bufio.Reader // of limiter
@@ -111,7 +112,7 @@
 		}
 		response, body, err := connection.readOwnResponse(call)
 		if errors.Is(err, errForeignResponse) {
-			call.finish(Result{Sent: true, Err: err})
+			call.finish(Result{Sent: true, Err: err, Connection: connection.number})
 			return
 		}
 		if err != nil {
@@ -123,7 +124,7 @@
 		if keep {
 			keep = connection.pool.release(connection, idleTimeout(response.Header))
 		}
-		call.finish(Result{Sent: true, Response: response, Body: body})
+		call.finish(Result{Sent: true, Response: response, Body: body, Connection: connection.number})
 		if !keep {
 			return
 		}
@@ -159,7 +160,7 @@
 // fail ends the call whose connection broke. Unless this instance closed the connection, it first finds out whether the
 // target's process still listens.
 func (connection *connection) fail(call *Call, err error) {
-	result := Result{Sent: true, Err: err}
+	result := Result{Sent: true, Err: err, Connection: connection.number}
 	if !errors.Is(err, net.ErrClosed) {
 		result.Listens = connection.pool.listens(connection.address)
 	}
--- a/shallotreel/connpool/history_test.go
+++ b/shallotreel/connpool/history_test.go
@@ -36,7 +36,11 @@
 		return await(t, results)
 	}
 	for attempt := range uint64(5) {
-		assertBody(t, start(), "number 0")
+		result := start()
+		assertBody(t, result, "number 0")
+		if result.Connection != attempt+1 {
+			t.Errorf("attempt %d was sent on connection %d", attempt+1, result.Connection)
+		}
 		if _, dials := pool.Counts(); dials != attempt+1 {
 			t.Errorf("%d connections were opened for %d attempts", dials, attempt+1)
 		}
--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -228,6 +228,7 @@
 	if assigned {
 		pool.open++
 		pool.dials++
+		connection.number = pool.dials
 	}
 	pool.mutex.Unlock()
 	if !assigned {
--- a/shallotreel/ingress/handler.go
+++ b/shallotreel/ingress/handler.go
@@ -86,6 +86,8 @@
 	Status  int           `json:"status"`            // HTTP status, 0 without a complete response
 	Cause   string        `json:"cause,omitempty"`   // why there is no usable response
 	Refused bool          `json:"refused,omitempty"` // whether the target refused a connection, so that its process has ended
+	// Connection is the number of the connection within the process, 0 if none is known; two attempts of a request never share one.
+	Connection uint64 `json:"connection,omitempty"`
 }
 
 // New returns a handler that takes its view of routes and targets from the catalogue.
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -207,7 +207,7 @@
 	if outcome == choice.Abandoned && ended.Sent && run.overloaded.Load() {
 		outcome = choice.Inconclusive // the load delays the answer
 	}
-	answer.AttemptID = send.AttemptID
+	answer.AttemptID, answer.Connection = send.AttemptID, ended.Connection
 	now := time.Now()
 	run.handler.path.Ended(now, send.AttemptID, send.Pick.Target.Address, ended)
 	run.handler.router.recordEnd(now, send.Pick.Target, send.AttemptID, outcome, report)
@@ -263,6 +263,6 @@
 func (run *run) recordAnswer(now time.Time, answer *query.Answer) {
 	attempt := &run.record.Attempts[run.attemptIndexes[answer.AttemptID]]
 	attempt.Took = now.Sub(run.start) - attempt.After
-	attempt.Status, attempt.Cause, attempt.Refused = answer.Status, answer.Cause, answer.Refused
+	attempt.Status, attempt.Cause, attempt.Refused, attempt.Connection = answer.Status, answer.Cause, answer.Refused, answer.Connection
 	delete(run.calls, answer.AttemptID)
 }
