--- a/shallotreel/connpool/connection.go
+++ b/shallotreel/connpool/connection.go
@@ -2,39 +2,21 @@
 
 import (
 	"bufio"
-	"cmp"
 	"net"
-	"net/http"
 	"net/netip"
 	"os"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"shallotreel.example/reel/statusline"
-	"shallotreel.example/shallotreel/intake"
 )
 
 const (
-	defaultIdleTimeout = 2 * time.Second         // assumed idle timeout of a target that sends no Keep-Alive timeout
-	maxIdleTime        = 1500 * time.Millisecond // limit of the idle time, since idle connections count against the target's connection limit
-	acceptanceWait     = 5 * time.Millisecond
-	idleTimeoutFactor  = 0.7     // share of the target's idle timeout for which a connection is reused
-	maxInlineWrite     = 8 << 10 // bytes that fit in the socket's send buffer, so that the write does not block
-
-	maxInterimResponses = 8 // before a final response
+	acceptanceWait = 5 * time.Millisecond
+	maxInlineWrite = 8 << 10 // bytes that fit in the socket's send buffer, so that the write does not block
 )
 
-// errForeignResponse is the error of a call that got the response to another request.
-var errForeignResponse = errors.New("the response names another request")
-
-// errTooManyInterim is the error of a call whose target sends more interim responses than allowed.
-var errTooManyInterim = errors.New("too many interim responses")
-
 // connection is a connection to a target. The pool's mutex guards its mutable fields except the atomic one.
 type connection struct {
 	pool     *Pool
@@ -137,26 +119,6 @@
 	return identified && connection.extras == 0 && connection.written.Load() && connection.reader.Buffered() == 0
 }
 
-// readOwnResponse reads the response that names the request of the call, and skips extra ones to the request before it. The error is
-// errForeignResponse for any other response.
-func (connection *connection) readOwnResponse(call *Call) (*http.Response, []byte, error) {
-	for {
-		response, body, err := connection.readResponse(call)
-		if err != nil {
-			return nil, nil, err
-		}
-		id := call.EchoedID(response.Header)
-		if id == call.ID {
-			return response, body, nil
-		}
-		if connection.extras == maxExtraResponses || !connection.last.isExtra(call, response, id) {
-			return nil, nil, errForeignResponse
-		}
-		connection.extras++
-		connection.pool.extras.Add(1)
-	}
-}
-
 // fail ends the call whose connection broke. Unless this instance closed the connection, it first finds out whether the
 // target's process still listens.
 func (connection *connection) fail(call *Call, err error) {
@@ -166,63 +128,3 @@
 	}
 	call.finish(result)
 }
-
-// readResponse reads a complete response and skips the interim ones before it.
-func (connection *connection) readResponse(call *Call) (*http.Response, []byte, error) {
-	connection.limiter.beginHead()
-	response, err := connection.readFinalHead(call)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "read response header")
-	}
-	connection.limiter.beginBody()
-	body, err := connection.readBody(call, response)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "read response body")
-	}
-	connection.limiter.beginHead() // also for bytes that arrive without a request
-	return response, body, nil
-}
-
-// readBody reads the whole body of the response to the call.
-func (connection *connection) readBody(call *Call, response *http.Response) ([]byte, error) {
-	limit := cmp.Or(call.MaxBody, defaultMaxBody)
-	if response.ContentLength > limit {
-		return nil, intake.ErrTooLong
-	}
-	if response.ContentLength >= 0 {
-		limit = response.ContentLength
-	}
-	return connection.pool.budget.ReadAll(response.Body, limit)
-}
-
-// readFinalHead reads heads of responses until one is not interim. The error wraps statusline.ErrInvalid if one of them is none.
-func (connection *connection) readFinalHead(call *Call) (*http.Response, error) {
-	for range maxInterimResponses + 1 {
-		response, err := http.ReadResponse(connection.reader, &http.Request{Method: call.Method})
-		if err != nil {
-			return nil, err
-		}
-		if err := statusline.Check(response); err != nil {
-			return nil, err
-		}
-		if !statusline.IsInterim(response.StatusCode) {
-			return response, nil
-		}
-	}
-	return nil, errTooManyInterim
-}
-
-// idleTimeout returns for how long an idle connection may be reused, which is derived from the timeout parameter of the
-// Keep-Alive header.
-func idleTimeout(header http.Header) time.Duration {
-	for option := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
-		seconds, ok := strings.CutPrefix(strings.TrimSpace(option), "timeout=")
-		if !ok {
-			continue
-		}
-		if count, err := strconv.Atoi(seconds); err == nil {
-			return min(maxIdleTime, time.Duration(idleTimeoutFactor*float64(count)*float64(time.Second)))
-		}
-	}
-	return min(maxIdleTime, defaultIdleTimeout)
-}
--- a/shallotreel/connpool/idle.go
+++ b/shallotreel/connpool/idle.go
@@ -2,10 +2,43 @@
 
 import (
 	"maps"
+	"net/http"
 	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 )
 
+const (
+	defaultIdleTimeout = 2 * time.Second         // assumed idle timeout of a target that sends no Keep-Alive timeout
+	maxIdleTime        = 1500 * time.Millisecond // limit of the idle time, since idle connections count against the target's connection limit
+	maxFreshIdleTime   = time.Second             // idle time up to which the target certainly still has the connection open
+	idleTimeoutFactor  = 0.7                     // share of the target's idle timeout for which a connection is reused
+)
+
+// takeIdle assigns to the call the most recently used idle connection that it may use. It returns nil if there is none.
+func (pool *Pool) takeIdle(call *Call) *connection {
+	if pool.excluded(call.Address) {
+		return nil
+	}
+	now := time.Now()
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	idle := pool.idle[call.Address]
+	for i, connection := range slices.Backward(idle) {
+		if !connection.mayServe(now, call) {
+			continue
+		}
+		if !pool.assign(call, connection) {
+			return nil
+		}
+		pool.idle[call.Address] = slices.Delete(idle, i, i+1)
+		return connection
+	}
+	return nil
+}
+
 // mayServe reports whether the idle connection may serve the call. The caller holds the mutex.
 func (connection *connection) mayServe(now time.Time, call *Call) bool {
 	expired := now.After(connection.expires) || call.RequireFresh && now.Sub(connection.idleAt) > maxFreshIdleTime
@@ -58,3 +91,18 @@
 		pool.closeConnection(connection)
 	}
 }
+
+// idleTimeout returns for how long an idle connection may be reused, which is derived from the timeout parameter of the
+// Keep-Alive header.
+func idleTimeout(header http.Header) time.Duration {
+	for option := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		seconds, ok := strings.CutPrefix(strings.TrimSpace(option), "timeout=")
+		if !ok {
+			continue
+		}
+		if count, err := strconv.Atoi(seconds); err == nil {
+			return min(maxIdleTime, time.Duration(idleTimeoutFactor*float64(count)*float64(time.Second)))
+		}
+	}
+	return min(maxIdleTime, defaultIdleTimeout)
+}
--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,14 +15,8 @@
 )
 
 const (
-	dialTimeout      = time.Second
-	refusalTimeout   = 100 * time.Millisecond // for a connection that only shows whether the target still listens
-	maxFreshIdleTime = time.Second            // idle time up to which the target certainly still has the connection open
-	readBufferSize   = 2 << 10                // bytes
-	probePeriod      = time.Second            // between two probes of an address
-	// A target that resets new connections is at its connection limit, so dials to it are delayed.
-	minDialBackoff = 30 * time.Millisecond  // average delay after the first reset
-	maxDialBackoff = 240 * time.Millisecond // limit of the average delay, which doubles with each further reset
+	dialTimeout    = time.Second
+	readBufferSize = 2 << 10 // bytes
 )
 
 // Pool keeps the connections to all targets. Its methods may be called from several goroutines at once.
@@ -43,12 +35,6 @@
 	acceptanceWait time.Duration
 }
 
-// dialBackoff delays new connections to a target at its connection limit.
-type dialBackoff struct {
-	delay      time.Duration // average delay; the actual one is random
-	nextDialAt time.Time
-}
-
 // Dial connects to a target. It returns an error once the context has ended.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -77,43 +63,6 @@
 	return pool
 }
 
-// CanStart reports whether a call to the target, of the request with the history, can start now, on an idle connection or on a new one.
-// A new connection is not possible during the backoff after a reset.
-func (pool *Pool) CanStart(now time.Time, address netip.AddrPort, history *History) bool {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	dialBackoff, ok := pool.backoffs[address]
-	if !ok || !now.Before(dialBackoff.nextDialAt) {
-		return true
-	}
-	return slices.ContainsFunc(pool.idle[address], func(connection *connection) bool {
-		return !now.After(connection.expires) && !history.contains(connection)
-	})
-}
-
-// recordReset records that the target reset a new connection, and starts or extends its dial backoff.
-func (pool *Pool) recordReset(address netip.AddrPort) {
-	now := time.Now()
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	backoff, ok := pool.backoffs[address]
-	if !ok {
-		backoff = &dialBackoff{delay: minDialBackoff}
-		pool.backoffs[address] = backoff
-	} else if !now.Before(backoff.nextDialAt) {
-		backoff.delay = min(2*backoff.delay, maxDialBackoff)
-	}
-	backoff.nextDialAt = now.Add(backoff.delay/2 + rand.N(backoff.delay))
-}
-
-// recentlyReset reports whether the target reset a connection and has not answered on a new one since.
-func (pool *Pool) recentlyReset(address netip.AddrPort) bool {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	_, ok := pool.backoffs[address]
-	return ok
-}
-
 // Start sends the request on an idle connection or a new one. It does not block; Done receives the result.
 func (pool *Pool) Start(call *Call) {
 	if connection := pool.takeIdle(call); connection != nil {
@@ -161,28 +110,6 @@
 	return true
 }
 
-// takeIdle assigns to the call the most recently used idle connection that it may use. It returns nil if there is none.
-func (pool *Pool) takeIdle(call *Call) *connection {
-	if pool.excluded(call.Address) {
-		return nil
-	}
-	now := time.Now()
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	idle := pool.idle[call.Address]
-	for i, connection := range slices.Backward(idle) {
-		if !connection.mayServe(now, call) {
-			continue
-		}
-		if !pool.assign(call, connection) {
-			return nil
-		}
-		pool.idle[call.Address] = slices.Delete(idle, i, i+1)
-		return connection
-	}
-	return nil
-}
-
 // connectTo opens a connection to the target within the timeout.
 func (pool *Pool) connectTo(ctx context.Context, address netip.AddrPort, timeout time.Duration) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -239,65 +166,6 @@
 	connection.readResponses()
 }
 
-// listens finds out whether the target accepts connections. A target that is about to end may reset one, or accept it and
-// close it soon after; a second one then shows whether it still listens.
-func (pool *Pool) listens(address netip.AddrPort) Listens {
-	for range 2 {
-		if pool.excluded(address) {
-			return Unknown
-		}
-		conn, err := pool.connectTo(context.Background(), address, refusalTimeout)
-		if errors.Is(err, syscall.ECONNRESET) {
-			continue
-		}
-		if err != nil {
-			return listensAfter(err)
-		}
-		connection := newConnection(pool, address, conn)
-		kept := connection.confirmAccepted()
-		conn.Close()
-		if kept {
-			return Accepted
-		}
-	}
-	return Unknown
-}
-
-// Accepts reports whether the target accepts a connection, which is closed at once.
-func (pool *Pool) Accepts(address netip.AddrPort) bool {
-	if pool.excluded(address) {
-		return false
-	}
-	conn, err := pool.connectTo(context.Background(), address, refusalTimeout)
-	if err != nil {
-		return false
-	}
-	conn.Close()
-	return true
-}
-
-// listensAfter returns what the error of a failed connection shows.
-func listensAfter(err error) Listens {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return Refused
-	}
-	return Unknown
-}
-
-// Probe calls done with whether the target accepts connections. It does nothing within probePeriod after another probe of
-// the address.
-func (pool *Pool) Probe(now time.Time, address netip.AddrPort, done func(Listens)) {
-	pool.mutex.Lock()
-	recent := now.Sub(pool.probes[address]) < probePeriod
-	if !recent {
-		pool.probes[address] = now
-	}
-	pool.mutex.Unlock()
-	if !recent {
-		go func() { done(pool.listens(address)) }()
-	}
-}
-
 // callOrRetire returns the call in flight on the connection. Without one it returns nil, and no call can take the
 // connection any more.
 func (pool *Pool) callOrRetire(connection *connection) *Call {
--- a/shallotreel/ingress/bench_test.go
+++ b/shallotreel/ingress/bench_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -14,28 +13,19 @@
 	"shallotreel.example/reel/catalogue"
 )
 
-// answerAll answers each request on the listener with a signed result of 64 bytes.
-func answerAll(listener net.Listener) {
+// answerAll answers each request on the connection with a signed result of 64 bytes.
+func answerAll(conn net.Conn) {
+	reader := bufio.NewReader(conn)
 	for {
-		conn, err := listener.Accept()
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp\r\nServer-Load: 1,0,4\r\nContent-Length: 64\r\n\r\n%064d",
+			request.Header.Get("Request-Id"), 7)
 		if err != nil {
 			return
 		}
-		go func() {
-			defer conn.Close()
-			reader := bufio.NewReader(conn)
-			for {
-				request, err := http.ReadRequest(reader)
-				if err != nil {
-					return
-				}
-				_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp\r\nServer-Load: 1,0,4\r\nContent-Length: 64\r\n\r\n%064d",
-					request.Header.Get("Request-Id"), 7)
-				if err != nil {
-					return
-				}
-			}
-		}()
 	}
 }
 
@@ -50,14 +40,8 @@
 		route.Shards = append(route.Shards, name)
 		services = append(services, catalogue.Service{Name: name, MaxConnections: 40})
 		for _, centre := range []string{"a", "b", "c"} {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				b.Fatal(err)
-			}
-			b.Cleanup(func() { listener.Close() })
-			go answerAll(listener)
 			targetCatalogue.Register(catalogue.Target{ID: name + centre, Service: name, DataCentre: centre, Slots: 4,
-				Address: netip.MustParseAddrPort(listener.Addr().String())})
+				Address: listenRaw(b, answerAll)})
 		}
 	}
 	targetCatalogue.Configure(catalogue.NewConfiguration(1, []catalogue.Route{route}, services, catalogue.Limits{}))
--- a/shallotreel/ingress/crash_test.go
+++ b/shallotreel/ingress/crash_test.go
@@ -43,25 +43,12 @@
 // endingTarget is a target that reads one request and then ends its process, or only breaks the connection.
 func endingTarget(t *testing.T, ends bool) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil && ends {
-					listener.Close()
-				}
-			}()
+	listener := listenLocal(t)
+	go acceptAll(listener, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil && ends {
+			listener.Close()
 		}
-	}()
+	})
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
--- a/shallotreel/ingress/raw_target_test.go
+++ b/shallotreel/ingress/raw_target_test.go
@@ -10,26 +10,36 @@
 	"shallotreel.example/reel/catalogue"
 )
 
-// listenRaw starts a target that passes each of its connections to the function, and closes it afterwards.
-func listenRaw(t *testing.T, serve func(net.Conn)) netip.AddrPort {
+// listenLocal listens on a local port until the test has ended.
+func listenLocal(t testing.TB) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				serve(conn)
-			}()
+	return listener
+}
+
+// acceptAll passes each connection of the listener to the function, and closes it afterwards.
+func acceptAll(listener net.Listener, serve func(net.Conn)) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
 		}
-	}()
+		go func() {
+			defer conn.Close()
+			serve(conn)
+		}()
+	}
+}
+
+// listenRaw starts a target that passes each of its connections to the function.
+func listenRaw(t testing.TB, serve func(net.Conn)) netip.AddrPort {
+	t.Helper()
+	listener := listenLocal(t)
+	go acceptAll(listener, serve)
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
