Peerrpc: a message that states more than 40 MiB ends its connection

Callers would see an instance run out of memory, if something that is no instance answers at a peer's address, or calls one: encoding/gob reads messages of up to 8 GB, as far as their bytes come. Found on the related paths of bytes without end; no caller saw it.

Change: the stream's lengths are followed and a longer message ends the connection. The longest ones hold a body (32 MiB are the most that an instance reads of all callers) or the catalogue (some 10 MB for 65,000 targets, by its entries).

Evidence: TestMessageWithoutEnd, red before (16 MB of a message of one gigabyte taken when the test stopped), passes. TestMessagesOfAnyLength: lengths from 0 to the limit, divided anywhere, pass; TestLongCall: 32 MiB there and back.

--- a/shallotreel/peerrpc/peerrpc.go
+++ b/shallotreel/peerrpc/peerrpc.go
@@ -71,7 +71,7 @@
 		conn.Close() // not reached: the services were registered at the start
 		return
 	}
-	registered.ServeConn(peerConn{conn, serverWriteTimeout, cancel})
+	registered.ServeConn(peerConn{conn, serverWriteTimeout, cancel, &messageLimiter{}})
 }
 
 // Close stops accepting connections; open ones continue.
@@ -84,15 +84,16 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to peer")
 	}
-	return rpc.NewClient(peerConn{conn, writeTimeout, func() {}}), nil
+	return rpc.NewClient(peerConn{conn, writeTimeout, func() {}, &messageLimiter{}}), nil
 }
 
-// peerConn is a connection that closes when the peer does not read, and cancels a context once the peer has disconnected, while
-// calls of the peer may still run.
+// peerConn is a connection that closes when the peer does not read, or sends a message that is too long. It cancels a context once the
+// peer has disconnected, while calls of the peer may still run.
 type peerConn struct {
 	net.Conn
 	writeTimeout time.Duration
 	cancel       context.CancelFunc
+	limiter      *messageLimiter // of what the peer sends
 }
 
 // Write implements io.Writer.
@@ -110,6 +111,10 @@
 // Read implements io.Reader.
 func (conn peerConn) Read(buffer []byte) (int, error) {
 	size, err := conn.Conn.Read(buffer)
+	if tooLong := conn.limiter.check(buffer[:size]); tooLong != nil {
+		size, err = 0, tooLong
+		conn.Close()
+	}
 	if err != nil {
 		conn.cancel()
 	}
