Intake: a message that is alone may exceed the budget

Callers would see 503 for ever to a body beyond 32 MiB, where the configuration allows one, since the budget for all incomplete bodies was also a limit of each. Found when the limits were read against the configuration's (256 KiB on the users' sites).

Change: a message that is the only one counted may grow to its own limit. Evidence: TestReadAll, row "at its limit, alone beyond the budget", red before.

--- a/shallotreel/intake/budget.go
+++ b/shallotreel/intake/budget.go
@@ -38,10 +38,11 @@
 func (budget *Budget) Peak() int64 { return budget.peak.Load() }
 
 // Grow reports whether a message may grow from one size to another, and counts the difference if so. One that stays within the free
-// size always may.
+// size always may, and so may one that is alone, which its own limit bounds.
 func (budget *Budget) Grow(from, to, free int) bool {
 	held := budget.held.Add(int64(to - from))
-	if held > budget.limit && to > free {
+	alone := held == int64(to)
+	if held > budget.limit && to > free && !alone {
 		budget.Release(to - from)
 		return false
 	}
