Connpool: the memory of a head that fails is given back before its target is probed

The count ended with the reading goroutine, which after a failed head first probes its target, up to .2 s; so long the budget was charged for nothing. And the test looked for the count when the connections were closed, which the canceller does before their readers see it.

Change: the count of a failed head ends at once; the test waits for the readers, as the pool's other tests do, and still wants nothing counted in the end.

--- a/shallotreel/connpool/endless_test.go
+++ b/shallotreel/connpool/endless_test.go
@@ -185,13 +185,21 @@
 			}
 			pool.Sweep(time.Now().Add(time.Minute)) // the connection of the ordinary one
 			assertClosed(t, pool)
-			if held := pool.PendingBytes(); held != 0 {
-				t.Errorf("%d bytes are still counted", held)
-			}
+			assertReleased(t, pool)
 		})
 	}
 }
 
+// assertReleased checks that nothing is counted any more once the readers have seen that their connections are closed.
+func assertReleased(t *testing.T, pool *Pool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitLimit); pool.PendingBytes() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes are still counted", pool.PendingBytes())
+		}
+	}
+}
+
 // TestBytesBeforeRequest guards against bytes that stay counted after a connection that only shows whether its target accepts it.
 func TestBytesBeforeRequest(t *testing.T) {
 	pool := NewPool()
--- a/shallotreel/connpool/response.go
+++ b/shallotreel/connpool/response.go
@@ -25,6 +25,7 @@
 	for {
 		response, body, err := connection.readResponse(call)
 		if err != nil {
+			connection.limiter.release() // the call ends before the connection
 			return nil, nil, err
 		}
 		id := call.EchoedID(response.Header)
