Intake: bodies are read in chunks, and not copied as they grow

Cause: a body grew by copies into twice the room, so that the copies before, not collected yet, came on top of what was counted, in sizes that are rarely used again. Ruled out: the budget's count (TestManyBodiesWithoutEnd holds throughout).

Change: a body is read in chunks of 4 to 64 KiB, which are joined when it is complete. TestReadAll has rows for an end that comes with the last byte.

--- a/shallotreel/intake/budget.go
+++ b/shallotreel/intake/budget.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bytes"
 	"io"
 	"math"
 	"sync/atomic"
@@ -9,7 +10,9 @@
 )
 
 const (
-	firstBodyBytes = 4 << 10 // allocated for a body at first
+	// A body is read in chunks, the first of which is small and the others as large as all before.
+	firstChunkBytes = 4 << 10
+	maxChunkBytes   = 64 << 10
 
 	// FreeBodyBytes is the size up to which a body may grow when the budget is used up.
 	FreeBodyBytes = 64 << 10
@@ -61,25 +64,44 @@
 	limit = min(limit, math.MaxInt64-1)
 	held := 0
 	defer func() { budget.Release(held) }()
-	var body []byte
+	var chunks [][]byte
 	for {
-		if len(body) == cap(body) {
-			size := int(min(int64(max(firstBodyBytes, 2*held)), limit+1)) // one more, to see the end
-			if !budget.Grow(held, size, FreeBodyBytes) {
-				return nil, ErrExhausted
-			}
-			held = size
-			body = append(make([]byte, 0, size), body...)
+		size := min(max(firstChunkBytes, held), maxChunkBytes)
+		size = int(min(int64(size), limit+1-int64(held))) // with one byte more than the limit, to see the end
+		if !budget.Grow(held, held+size, FreeBodyBytes) {
+			return nil, ErrExhausted
 		}
-		size, err := reader.Read(body[len(body):cap(body)])
-		body = body[:len(body)+size]
+		held += size
+		chunk, err := fill(reader, size)
+		chunks = append(chunks, chunk)
+		length := held - size + len(chunk)
 		switch {
-		case int64(len(body)) > limit:
+		case int64(length) > limit:
 			return nil, ErrTooLong
 		case errors.Is(err, io.EOF):
-			return body, nil
+			return join(chunks), nil
 		case err != nil:
 			return nil, err
 		}
 	}
 }
+
+// fill reads until it has so many bytes. The error is io.EOF at the end.
+func fill(reader io.Reader, size int) ([]byte, error) {
+	chunk := make([]byte, 0, size)
+	for len(chunk) < size {
+		count, err := reader.Read(chunk[len(chunk):size])
+		chunk = chunk[:len(chunk)+count]
+		if err != nil {
+			return chunk, err
+		}
+	}
+	return chunk, nil
+}
+
+func join(chunks [][]byte) []byte {
+	if len(chunks) == 1 {
+		return chunks[0]
+	}
+	return bytes.Join(chunks, nil)
+}
--- a/shallotreel/intake/budget_test.go
+++ b/shallotreel/intake/budget_test.go
@@ -28,6 +28,8 @@
 		{"at its limit, alone beyond the budget", bytes.NewReader(make([]byte, limit)), 0, nil, limit},
 		{"byte by byte", iotest.OneByteReader(bytes.NewReader(make([]byte, 9<<10))), 0, nil, 9 << 10},
 		{"above its limit", bytes.NewReader(make([]byte, limit+1)), 0, ErrTooLong, 0},
+		{"at its limit, with the end", iotest.DataErrReader(bytes.NewReader(make([]byte, limit))), 0, nil, limit},
+		{"above its limit, with the end", iotest.DataErrReader(bytes.NewReader(make([]byte, limit+1))), 0, ErrTooLong, 0},
 		{"without end", zeros{}, 0, ErrTooLong, 0},
 		{"broken off", io.MultiReader(bytes.NewReader(make([]byte, 5<<10)), iotest.ErrReader(broken)), 0, broken, 0},
 		{"small beside a used budget", bytes.NewReader(make([]byte, FreeBodyBytes-1)), budgetBytes, nil, FreeBodyBytes - 1},
