Front: heads of callers' requests are bounded in memory, all together

Callers would see an instance run out of memory: 300 heads of 62 KiB in short lines, which never end, take 370 MB as a process within two seconds (trial), where sites give an instance 160 to 536 MB.

Cause: net/http bounds a head by its bytes alone and keeps each line as an entry of a map; nothing bounds many heads together.

Change: the connections of all servers count the bytes and lines of each head until its request ends. 1,000 lines at most (400); 32 MiB together, beyond which a connection whose head takes over 8 KiB is closed unread, so that its caller may go elsewhere. Answers' heads use the same count (intake.Head). Gauges request_bytes_pending and request_heads_refused.

--- a/shallotreel/connpool/connection.go
+++ b/shallotreel/connpool/connection.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"shallotreel.example/shallotreel/intake"
 )
 
 const (
@@ -36,7 +38,7 @@
 }
 
 func newConnection(pool *Pool, address netip.AddrPort, conn net.Conn) *connection {
-	limiter := &headLimiter{conn: conn, budget: pool.budget}
+	limiter := &headLimiter{conn: conn, head: intake.NewHead(pool.budget)}
 	return &connection{pool: pool, address: address, conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}
 }
 
--- a/shallotreel/connpool/endless_test.go
+++ b/shallotreel/connpool/endless_test.go
@@ -149,7 +149,7 @@
 		t.Run(name, func(t *testing.T) {
 			head := strings.Builder{}
 			head.WriteString("HTTP/1.1 200 OK\r\nId: long\r\n")
-			for i := 0; head.Len() < maxHeadBytes-(2<<10); i++ {
+			for i := 0; head.Len() < intake.MaxHeadBytes-(2<<10); i++ {
 				head.WriteString(line(i))
 			}
 			pool := NewPool()
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -34,6 +34,7 @@
 	"shallotreel.example/shallotreel/crashwatch"
 	"shallotreel.example/shallotreel/feed"
 	"shallotreel.example/shallotreel/ingress"
+	"shallotreel.example/shallotreel/intake"
 	"shallotreel.example/shallotreel/linelimit"
 	"shallotreel.example/shallotreel/peerrpc"
 	"shallotreel.example/shallotreel/reachwatch"
@@ -49,7 +50,7 @@
 	storeDialTimeout  = 500 * time.Millisecond
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10        // bytes
+	maxPendingHeads   = 32 << 20        // bytes of memory that the heads of all requests in progress take
 	thousandths       = 1000            // of a core
 	gcPercent         = 50              // GOGC value; uses a third less memory than 150, for a seventh more CPU time
 	addressTTL        = 5 * time.Second // for which callers keep an address, unless the settings limit it further
@@ -79,6 +80,7 @@
 	crashes      *crashwatch.Watch
 	path         *reachwatch.Watch
 	servers      []*http.Server
+	heads        *intake.Heads // of the requests to all servers
 	callerServer *http.Server
 	stopping     atomic.Bool
 	configured   atomic.Bool // whether a configuration is known
@@ -96,7 +98,8 @@
 func Start(config settings.Front, logger *logrus.Logger) (*Front, error) {
 	debug.SetGCPercent(gcPercent)
 	ctx, cancel := context.WithCancel(context.Background())
-	front := &Front{log: logger, ctx: ctx, cancel: cancel, healthLines: linelimit.New(healthLinesPerSecond)}
+	front := &Front{log: logger, ctx: ctx, cancel: cancel, healthLines: linelimit.New(healthLinesPerSecond),
+		heads: intake.NewHeads(maxPendingHeads)}
 	front.pool = connpool.NewPool(connpool.WithExclusion(func(address netip.AddrPort) bool { return front.View().IsEvacuatedAddress(address) }))
 	front.settings.Store(&config)
 	front.openMetrics()
@@ -184,10 +187,10 @@
 		return nil, err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(front.log.WriterLevel(logrus.WarnLevel), "", 0)}
+		MaxHeaderBytes: intake.MaxHeadBytes, ConnState: front.heads.Follow, ErrorLog: log.New(front.log.WriterLevel(logrus.WarnLevel), "", 0)}
 	front.servers = append(front.servers, server)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(front.heads.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 			front.log.WithError(err).WithField("address", address.String()).Error("listener failed")
 		}
 	}()
@@ -305,6 +308,8 @@
 	front.scope.Gauge("target_connections").Update(float64(open))
 	front.scope.Gauge("target_dials").Update(float64(dials))
 	front.scope.Gauge("extra_responses").Update(float64(front.pool.ExtraResponses()))
+	front.scope.Gauge("request_bytes_pending").Update(float64(front.heads.Held() + front.handler.PendingBytes()))
+	front.scope.Gauge("request_heads_refused").Update(float64(front.heads.Refused()))
 	front.scope.Gauge("response_bytes_pending").Update(float64(front.pool.PendingBytes()))
 	front.scope.Gauge("store_calls").Update(float64(front.feed.StoreCalls()))
 	front.scope.Gauge("members").Update(float64(len(front.roster.Members())))
--- a/shallotreel/ingress/body.go
+++ b/shallotreel/ingress/body.go
@@ -23,6 +23,9 @@
 	reasonBodies = "too many bytes of incomplete requests are held"
 )
 
+// PendingBytes returns the size of all request bodies that are not complete yet, in bytes.
+func (handler *Handler) PendingBytes() int64 { return handler.bodies.Held() }
+
 // readBody reads the body of the request, up to the limit of the configuration. It returns the refusal of a request whose body cannot be
 // read.
 func (handler *Handler) readBody(writer http.ResponseWriter, request *http.Request, limits catalogue.Limits) ([]byte, *query.Finish) {
