Settings: the memory and the descriptors of a process, unused

The two fields come before the tests, which lower them, and before any change of what the process does; they are checked and reported as needing a restart, and not used.

--- a/shallotreel/settings/front.go
+++ b/shallotreel/settings/front.go
@@ -24,7 +24,9 @@
 	Grace          document.Duration `json:"grace" validate:"gt=0"`     // maximum duration of a graceful stop
 	MaxAddressTTL  document.Duration `json:"keep_most" validate:"gt=0"` // upper limit on the time for which callers keep an address
 	Extra          Extra             `json:"extra"`
-	Processor      float64           `json:"processor,omitempty" validate:"min=0,max=1024"` // share of this process in cores, 0 if unknown
+	Processor      float64           `json:"processor,omitempty" validate:"min=0,max=1024"`                      // share of this process in cores, 0 if unknown
+	MemoryMB       int               `json:"memory_mb,omitempty" validate:"omitempty,min=64,max=1048576"`        // limit of this process in MiB, 0 if unknown
+	MaxDescriptors int               `json:"max_descriptors,omitempty" validate:"omitempty,min=128,max=1048576"` // limit of this process, 0 if only the system's is known
 	LogLevel       string            `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warning error"`
 }
 
@@ -58,6 +60,8 @@
 		{"metrics_address", front.MetricsAddress == running.MetricsAddress},
 		{"store_address", front.StoreAddress == running.StoreAddress},
 		{"processor", front.Processor == running.Processor},
+		{"memory_mb", front.MemoryMB == running.MemoryMB},
+		{"max_descriptors", front.MaxDescriptors == running.MaxDescriptors},
 		{"log_level", front.LogLevel == running.LogLevel},
 	} {
 		if !field.same {
--- a/shallotreel/settings/front_test.go
+++ b/shallotreel/settings/front_test.go
@@ -24,6 +24,8 @@
 		{"invalid duration", `"6s"`, `"6"`, "duration"},
 		{"zero grace", `"6s"`, `"0s"`, "grace"},
 		{"negative ratio", `"ratio":0.2`, `"ratio":-1`, "extra.ratio"},
+		{"too little memory", `"name":"one"`, `"name":"one","memory_mb":63`, "memory_mb"},
+		{"too few descriptors", `"name":"one"`, `"name":"one","max_descriptors":127`, "max_descriptors"},
 		{"unknown field", `"name":"one"`, `"name":"one","nmae":"two"`, "nmae"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
