Intake: a request is not refused because of the number of its header lines

Cause: intake.MaxHeadLines, a constant, was compared with the lines of callers' heads. The configurations allow max_header_bytes 16,384, which is 4,096 lines of four bytes. Why this works: what a line costs (96 bytes) counts for the budget of all heads in any case, so that many such heads are bounded together, and the single one is refused by nothing but its bytes. The limit stays for heads of targets' responses.

--- a/shallotreel/intake/head.go
+++ b/shallotreel/intake/head.go
@@ -5,7 +5,7 @@
 const (
 	// MaxHeadBytes is the limit of the first line and the header of a message, with those of interim responses before it.
 	MaxHeadBytes = 64 << 10
-	// MaxHeadLines is the limit of the lines of the same.
+	// MaxHeadLines is the limit of the lines of a response's head, which has few. Those of a request are bounded by their cost alone.
 	MaxHeadLines = 1000
 
 	headLineBytes = 96      // memory that a line of a head takes besides its bytes
--- a/shallotreel/intake/listener.go
+++ b/shallotreel/intake/listener.go
@@ -8,7 +8,7 @@
 
 // Heads bounds the memory that the heads of all requests take on the connections of an HTTP server, from their first byte until the
 // request has ended. A connection whose head may not be kept is closed without an answer, so that its caller knows that it was not
-// read; one whose head has too many lines gets 400.
+// read.
 type Heads struct {
 	budget  *Budget
 	refused atomic.Uint64
@@ -73,10 +73,6 @@
 	if !conn.inHead {
 		return conn.Conn.Read(buffer)
 	}
-	if conn.head.HasAllLines() {
-		conn.heads.refused.Add(1)
-		return 0, ErrTooLong
-	}
 	size, err := conn.Conn.Read(buffer)
 	if exhausted := conn.head.Add(buffer[:size]); exhausted != nil {
 		conn.heads.refused.Add(1)
