Attempts: those of one request share its head and body

Cause: EncodeAttempt copied the head and the body for each attempt, so that a request to many shards, a hedge or a retry held as many copies of what its caller sent, until the last attempt ended. At 140 shards a body of 256 KiB was 36 MB. Change: a request of more than 8 KiB is sent in parts (writev): the shared head, the few headers of the attempt, the shared body. A shorter one, which is nearly every one, is one copy and one write as before.

--- a/shallotreel/connpool/call.go
+++ b/shallotreel/connpool/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -14,7 +15,7 @@
 type Call struct {
 	Address      netip.AddrPort           // of the target
 	Method       string                   // HTTP method of the request
-	Request      []byte                   // serialized request
+	Request      net.Buffers              // serialized request, whose parts calls may share
 	ID           string                   // of the request, the same for all of its attempts
 	EchoedID     func(http.Header) string // returns the ID of the request that a response answers, "" if the header names none
 	History      *History                 // of the request, shared by all of its attempts; nil if it has only one
@@ -22,7 +23,7 @@
 	RequireFresh bool                     // whether to avoid connections idle for over a second, which may fail; set for requests that must not be repeated
 	// Refresh returns the serialized request as of now, for a call that had to wait for its connection, or false if it is too late to
 	// send it; nil if Request does not change.
-	Refresh func(now time.Time) ([]byte, bool)
+	Refresh func(now time.Time) (net.Buffers, bool)
 	Done    func(Result) // receives the result; called exactly once
 
 	finished   atomic.Bool
--- a/shallotreel/connpool/connection.go
+++ b/shallotreel/connpool/connection.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -57,7 +58,7 @@
 
 // write sends the request. A request that may not fit in the socket's send buffer is sent by a new goroutine.
 func (connection *connection) write(call *Call) {
-	if len(call.Request) <= maxInlineWrite {
+	if len(call.Request) == 1 && len(call.Request[0]) <= maxInlineWrite {
 		// The kernel accepts the whole request at once, and the response may be read before the write returns.
 		connection.written.Store(true)
 		connection.send(call)
@@ -69,7 +70,7 @@
 
 // send writes the request and ends the call if that fails.
 func (connection *connection) send(call *Call) {
-	if _, err := connection.conn.Write(call.Request); err != nil {
+	if err := connection.writeAll(call.Request); err != nil {
 		connection.pool.closeConnection(connection)
 		connection.fail(call, errors.Wrap(err, "send request"))
 		return
@@ -77,6 +78,17 @@
 	connection.written.Store(true)
 }
 
+// writeAll writes the parts of a request, which it does not change.
+func (connection *connection) writeAll(request net.Buffers) error {
+	if len(request) == 1 {
+		_, err := connection.conn.Write(request[0])
+		return err
+	}
+	parts := slices.Clone(request) // of which WriteTo drops what is written
+	_, err := parts.WriteTo(connection.conn)
+	return err
+}
+
 // readResponses delivers responses to their calls until the connection cannot be reused, and closes it.
 func (connection *connection) readResponses() {
 	defer connection.pool.closeConnection(connection)
--- a/shallotreel/connpool/connection_test.go
+++ b/shallotreel/connpool/connection_test.go
@@ -58,7 +58,7 @@
 func newCall(address netip.AddrPort, id string) (*Call, chan Result) {
 	results := make(chan Result, 4)
 	return &Call{Address: address, Method: http.MethodGet,
-		Request: []byte("GET /x HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n"),
+		Request: net.Buffers{[]byte("GET /x HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n")},
 		ID:      id, EchoedID: echoedID,
 		Done: func(result Result) { results <- result }}, results
 }
@@ -186,8 +186,8 @@
 	})
 	pool := NewPool()
 	call, results := newCall(address, "one")
-	call.Request = append([]byte(strings.Replace(string(call.Request), "\r\n\r\n", "\r\nContent-Length: 16777216\r\n\r\n", 1)),
-		make([]byte, 16<<20)...)
+	head := strings.Replace(string(call.Request[0]), "\r\n\r\n", "\r\nContent-Length: 16777216\r\n\r\n", 1)
+	call.Request = net.Buffers{[]byte(head), make([]byte, 16<<20)}
 	pool.Start(call)
 	result := await(t, results)
 	if result.Err == nil {
--- a/shallotreel/connpool/property_test.go
+++ b/shallotreel/connpool/property_test.go
@@ -82,7 +82,7 @@
 
 func (session *session) call(id, behaviour string) *Call {
 	call := &Call{Address: session.address, Method: http.MethodGet,
-		Request: []byte("GET /x HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nDo: " + behaviour + "\r\n\r\n"),
+		Request: net.Buffers{[]byte("GET /x HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nDo: " + behaviour + "\r\n\r\n")},
 		ID:      id, EchoedID: echoedID}
 	call.Done = func(result Result) {
 		session.mutex.Lock()
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -178,7 +179,7 @@
 	call := &connpool.Call{Address: target.Address, Method: run.outbound.Method, MaxBody: maxBody(run.plan.Route), RequireFresh: !run.plan.Repeatable(),
 		Request: run.outbound.EncodeAttempt(target.ID, send.Deadline.Sub(now)), ID: run.outbound.ID, EchoedID: platform.EchoedID,
 		History: &run.history}
-	call.Refresh = func(now time.Time) ([]byte, bool) {
+	call.Refresh = func(now time.Time) (net.Buffers, bool) {
 		left := send.Deadline.Sub(now)
 		return run.outbound.EncodeAttempt(target.ID, left), left > 0
 	}
