Intake: one memory for all that is held for others, from its arrival to the end of its use

Cause: three budgets of 32 MiB each, constants that knew nothing of the machine, counted heads until the request ended, bodies of callers and of targets only until they were complete. Then nothing counted them: the request, its attempts and those who waited for admission or a slow caller kept them. 64 KiB of each body and 8 KiB of each head were free, for any number of connections. When a budget was used up, whoever came next was refused, and not who stopped short of the end and stayed, for which there was no time limit. Change: intake.Memory, a quarter of the memory of the process (settings, 256 MB if unknown), counts connections, heads with the cost of their lines, bodies, requests in progress, handed-over copies and answers on holds. A hold is given back at the end of the request and of its last attempt. When there is no room, the memory ends those who wait for somebody outside (idle connections, heads and bodies that are not complete), the one first that has got on least recently, and none if that wouldn't suffice; a newcomer is refused with 503 and Retry-After only then, before anything is sent, and its connection ends. A body must be complete at the deadline of its request. The garbage collector is told three quarters of the memory as its limit. A request on a connection that was ended at the same moment is dropped unrun (Door.Handler). An attempt that found no memory for its answer says nothing of its target. Ruled out: one lock for all counts as a cost that matters: an ordinary request takes it some ten times. The tests of heads and bodies keep their bounds; TestManyBodiesWithoutEnd's is stricter (32 MiB in all).

--- a/shallotreel/connpool/bounds.go
+++ b/shallotreel/connpool/bounds.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	defaultMaxBody  = 8 << 20  // bytes of a response body, for a call that sets no limit
-	maxPendingBytes = 32 << 20 // of all responses that are not complete yet
+	defaultMaxBody = 8 << 20  // bytes of a response body, for a call that sets no limit
+	defaultMemory  = 32 << 20 // bytes, of a pool that shares none
 )
 
 // headLimiter reads from a connection, of which only the body of a response may be long. It counts the memory of each head until the next
@@ -24,8 +24,8 @@
 	if headLimiter.inBody {
 		return headLimiter.conn.Read(buffer)
 	}
-	left := headLimiter.head.Left()
-	if left == 0 || headLimiter.head.HasAllLines() {
+	left := intake.MaxHeadBytes - headLimiter.head.Bytes()
+	if left <= 0 || headLimiter.head.HasAllLines() {
 		return 0, intake.ErrTooLong
 	}
 	size, err := headLimiter.conn.Read(buffer[:min(len(buffer), left)])
@@ -47,5 +47,10 @@
 // release ends the count of the head's memory.
 func (headLimiter *headLimiter) release() { headLimiter.head.Reset() }
 
-// PendingBytes returns the memory of all responses that are not complete yet, in bytes.
-func (pool *Pool) PendingBytes() int64 { return pool.budget.Held() }
+// Memory returns the memory that the responses of the pool count for.
+func (pool *Pool) Memory() *intake.Memory { return pool.memory }
+
+// WithMemory makes the responses of the pool count for the memory.
+func WithMemory(memory *intake.Memory) Option {
+	return func(pool *Pool) { pool.memory = memory }
+}
--- a/shallotreel/connpool/call.go
+++ b/shallotreel/connpool/call.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"shallotreel.example/shallotreel/intake"
 )
 
 // Call is one request to a target.
@@ -20,6 +22,7 @@
 	EchoedID     func(http.Header) string // returns the ID of the request that a response answers, "" if the header names none
 	History      *History                 // of the request, shared by all of its attempts; nil if it has only one
 	MaxBody      int64                    // bytes of the response body, 0 for the default
+	Hold         *intake.Hold             // counts the body of the response from its arrival on, nil to count it until it is complete
 	RequireFresh bool                     // whether to avoid connections idle for over a second, which may fail; set for requests that must not be repeated
 	// Refresh returns the serialized request as of now, for a call that had to wait for its connection, or false if it is too late to
 	// send it; nil if Request does not change.
--- a/shallotreel/connpool/connection.go
+++ b/shallotreel/connpool/connection.go
@@ -26,6 +26,7 @@
 	address  netip.AddrPort
 	number   uint64 // unique within the pool
 	conn     net.Conn
+	hold     *intake.Hold // of heads, and of bodies of calls without a hold
 	limiter  *headLimiter
 	reader   *bufio.Reader // of limiter
 	call     *Call         // call in flight, nil while the connection is idle
@@ -39,8 +40,9 @@
 }
 
 func newConnection(pool *Pool, address netip.AddrPort, conn net.Conn) *connection {
-	limiter := &headLimiter{conn: conn, head: intake.NewHead(pool.budget)}
-	return &connection{pool: pool, address: address, conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}
+	hold := pool.memory.Hold()
+	limiter := &headLimiter{conn: conn, head: intake.NewHead(hold, intake.Answer)}
+	return &connection{pool: pool, address: address, conn: conn, hold: hold, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}
 }
 
 // confirmAccepted reports whether the target keeps the new connection open for acceptanceWait. A target at its
--- a/shallotreel/connpool/endless_test.go
+++ b/shallotreel/connpool/endless_test.go
@@ -61,10 +61,10 @@
 			call.MaxBody = 100 << 10
 			pool.Start(call)
 			assertSentError(t, await(t, results))
-			if peak := pool.budget.Peak(); peak > 2*(call.MaxBody+1) {
+			if peak := pool.memory.Peak(); peak > 2*(call.MaxBody+1) {
 				t.Errorf("%d bytes were held for a body of at most %d", peak, call.MaxBody)
 			}
-			if held := pool.budget.Held(); held != 0 {
+			if held := pool.memory.Held(); held != 0 {
 				t.Errorf("%d bytes are still counted", held)
 			}
 			assertClosed(t, pool)
@@ -102,7 +102,7 @@
 	faulty := serve(t, endless("HTTP/1.1 200 OK\r\nId: ID\r\n\r\n", "x"))
 	sound := serve(t, func(conn net.Conn, reader *bufio.Reader) {
 		for id := read(reader); id != ""; id = read(reader) {
-			reply(conn, id, strings.Repeat("y", intake.FreeBodyBytes/2))
+			reply(conn, id, strings.Repeat("y", intake.ShortAnswerBytes/2))
 		}
 	})
 	var group sync.WaitGroup
@@ -123,8 +123,8 @@
 		})
 	}
 	group.Wait()
-	if peak := pool.budget.Peak(); peak > maxPendingBytes+128*intake.FreeBodyBytes {
-		t.Errorf("%d bytes were held, want %d and %d for each response", peak, maxPendingBytes, intake.FreeBodyBytes)
+	if peak := pool.memory.Peak(); peak > defaultMemory {
+		t.Errorf("%d bytes were held, want %d at most", peak, defaultMemory)
 	}
 }
 
@@ -176,8 +176,8 @@
 				<-written
 			}
 			time.Sleep(100 * time.Millisecond) // the last heads are being read
-			if grown := heapBytes() - before; grown > 2*maxPendingBytes {
-				t.Errorf("%d heads that are not complete take %d bytes, want %d at most", calls, grown, 2*maxPendingBytes)
+			if grown := heapBytes() - before; grown > 2*defaultMemory {
+				t.Errorf("%d heads that are not complete take %d bytes, want %d at most", calls, grown, 2*defaultMemory)
 			}
 			assertBody(t, roundTrip(t, pool, sound, "ordinary"), "body")
 			for _, call := range pending {
@@ -193,9 +193,9 @@
 // assertReleased checks that nothing is counted any more once the readers have seen that their connections are closed.
 func assertReleased(t *testing.T, pool *Pool) {
 	t.Helper()
-	for deadline := time.Now().Add(waitLimit); pool.PendingBytes() != 0; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(waitLimit); pool.memory.Held() != 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("%d bytes are still counted", pool.PendingBytes())
+			t.Fatalf("%d bytes are still counted", pool.memory.Held())
 		}
 	}
 }
@@ -210,7 +210,7 @@
 	if listens := pool.listens(address); listens != Unknown {
 		t.Errorf("a target that sends bytes without a request is reported as %v, want %v", listens, Unknown)
 	}
-	if held := pool.PendingBytes(); held != 0 {
+	if held := pool.memory.Held(); held != 0 {
 		t.Errorf("%d bytes are still counted", held)
 	}
 }
--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -25,10 +25,10 @@
 	idle     map[netip.AddrPort][]*connection // idle connections by target, the most recently used last
 	probes   map[netip.AddrPort]time.Time     // last probe by address
 	backoffs map[netip.AddrPort]*dialBackoff  // targets that reset a connection and have not answered on a new one since
-	budget   *intake.Budget
-	open     int           // open connections
-	dials    uint64        // connections ever opened
-	extras   atomic.Uint64 // see ExtraResponses
+	memory   *intake.Memory                   // of responses
+	open     int                              // open connections
+	dials    uint64                           // connections ever opened
+	extras   atomic.Uint64                    // see ExtraResponses
 	connect  Dial
 	excluded func(netip.AddrPort) bool // see WithExclusion
 	// acceptanceWait is the time within which a target at its connection limit, or whose process ends, resets a connection.
@@ -55,7 +55,7 @@
 // NewPool returns a pool without connections.
 func NewPool(options ...Option) *Pool {
 	pool := &Pool{idle: map[netip.AddrPort][]*connection{}, backoffs: map[netip.AddrPort]*dialBackoff{}, probes: map[netip.AddrPort]time.Time{},
-		budget:  intake.NewBudget(maxPendingBytes),
+		memory:  intake.NewMemory(defaultMemory),
 		connect: new(net.Dialer).DialContext, excluded: func(netip.AddrPort) bool { return false }, acceptanceWait: acceptanceWait}
 	for _, option := range options {
 		option(pool)
--- a/shallotreel/connpool/response.go
+++ b/shallotreel/connpool/response.go
@@ -65,7 +65,12 @@
 	if response.ContentLength >= 0 {
 		limit = response.ContentLength
 	}
-	return connection.pool.budget.ReadAll(response.Body, limit)
+	if call.Hold != nil {
+		return intake.ReadAll(call.Hold, intake.Answer, response.Body, limit)
+	}
+	body, err := intake.ReadAll(connection.hold, intake.Answer, response.Body, limit)
+	connection.hold.Shrink(intake.Answer, len(body))
+	return body, err
 }
 
 // readFinalHead reads heads of responses until one is not interim. The error wraps statusline.ErrInvalid if one of them is none.
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -50,7 +49,7 @@
 	storeDialTimeout  = 500 * time.Millisecond
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
-	maxPendingHeads   = 32 << 20        // bytes of memory that the heads of all requests in progress take
+	maxHeadBytes      = 1 << 20         // that a configuration may allow
 	thousandths       = 1000            // of a core
 	gcPercent         = 50              // GOGC value; uses a third less memory than 150, for a seventh more CPU time
 	addressTTL        = 5 * time.Second // for which callers keep an address, unless the settings limit it further
@@ -80,7 +79,10 @@
 	crashes      *crashwatch.Watch
 	path         *reachwatch.Watch
 	servers      []*http.Server
-	heads        *intake.Heads // of the requests to all servers
+	resources    resources
+	memory       *intake.Memory // that is held for others
+	doors        []*intake.Door // of all addresses
+	callerDoor   *intake.Door
 	callerServer *http.Server
 	stopping     atomic.Bool
 	configured   atomic.Bool // whether a configuration is known
@@ -96,11 +98,13 @@
 // Start applies the settings, listens on their addresses and starts the instance. It
 // returns an error if an address is not available.
 func Start(config settings.Front, logger *logrus.Logger) (*Front, error) {
-	debug.SetGCPercent(gcPercent)
+	available := resourcesOf(config)
+	available.limitHeap()
 	ctx, cancel := context.WithCancel(context.Background())
 	front := &Front{log: logger, ctx: ctx, cancel: cancel, healthLines: linelimit.New(healthLinesPerSecond),
-		heads: intake.NewHeads(maxPendingHeads)}
-	front.pool = connpool.NewPool(connpool.WithExclusion(func(address netip.AddrPort) bool { return front.View().IsEvacuatedAddress(address) }))
+		resources: available, memory: intake.NewMemory(available.memory / heldShare)}
+	front.pool = connpool.NewPool(connpool.WithMemory(front.memory),
+		connpool.WithExclusion(func(address netip.AddrPort) bool { return front.View().IsEvacuatedAddress(address) }))
 	front.settings.Store(&config)
 	front.openMetrics()
 	front.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
@@ -161,17 +165,18 @@
 	if front.peerServer, err = peerrpc.Serve(config.PeerAddress, cataloguesync.NewService(front.feed), relayServer.Service()); err != nil {
 		return err
 	}
-	front.callerServer, err = front.serve(config.CallerAddress, front.handler)
+	front.callerDoor = front.addDoor()
+	front.callerServer, err = front.serve(config.CallerAddress, front.callerDoor, front.handler)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	if _, err = front.serve(config.ReadyAddress, http.HandlerFunc(front.serveReady)); err != nil {
+	if err = front.servePage(config.ReadyAddress, http.HandlerFunc(front.serveReady)); err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
 	}
-	if _, err = front.serve(config.ResolveAddress, http.HandlerFunc(front.serveResolve)); err != nil {
+	if err = front.servePage(config.ResolveAddress, http.HandlerFunc(front.serveResolve)); err != nil {
 		return errors.Wrap(err, "listen for address queries")
 	}
-	if _, err = front.serve(config.MetricsAddress, front.operatorsHandler()); err != nil {
+	if err = front.servePage(config.MetricsAddress, front.operatorsHandler()); err != nil {
 		return errors.Wrap(err, "listen for metrics")
 	}
 	front.roster.Start()
@@ -180,17 +185,33 @@
 	return nil
 }
 
-// serve starts an HTTP server at the address.
-func (front *Front) serve(address netip.AddrPort, handler http.Handler) (*http.Server, error) {
+// servePage starts an HTTP server for others than callers at the address, which read no bodies.
+func (front *Front) servePage(address netip.AddrPort, handler http.Handler) error {
+	_, err := front.serve(address, front.addDoor(), withoutBodies(handler))
+	return err
+}
+
+// withoutBodies returns a handler that closes the connection of a request with a body, for which the server would wait before it answers.
+func withoutBodies(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.ContentLength != 0 {
+			writer.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+// serve starts an HTTP server behind the door at the address.
+func (front *Front) serve(address netip.AddrPort, door *intake.Door, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: intake.MaxHeadBytes, ConnState: front.heads.Follow, ErrorLog: log.New(front.log.WriterLevel(logrus.WarnLevel), "", 0)}
+	server := &http.Server{Handler: door.Handler(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeadBytes, ConnState: door.Follow, ConnContext: door.Context, ErrorLog: log.New(front.log.WriterLevel(logrus.WarnLevel), "", 0)}
 	front.servers = append(front.servers, server)
 	go func() {
-		if err := server.Serve(front.heads.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(door.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 			front.log.WithError(err).WithField("address", address.String()).Error("listener failed")
 		}
 	}()
@@ -308,9 +329,7 @@
 	front.scope.Gauge("target_connections").Update(float64(open))
 	front.scope.Gauge("target_dials").Update(float64(dials))
 	front.scope.Gauge("extra_responses").Update(float64(front.pool.ExtraResponses()))
-	front.scope.Gauge("request_bytes_pending").Update(float64(front.heads.Held() + front.handler.PendingBytes()))
-	front.scope.Gauge("request_heads_refused").Update(float64(front.heads.Refused()))
-	front.scope.Gauge("response_bytes_pending").Update(float64(front.pool.PendingBytes()))
+	front.updateHeldGauges()
 	front.scope.Gauge("store_calls").Update(float64(front.feed.StoreCalls()))
 	front.scope.Gauge("members").Update(float64(len(front.roster.Members())))
 	front.scope.Gauge("evacuations").Update(float64(len(front.View().Evacuations())))
--- /dev/null
+++ b/shallotreel/front/resources.go
@@ -0,0 +1,59 @@
+package front
+
+import (
+	"math"
+	"runtime/debug"
+
+	"shallotreel.example/shallotreel/intake"
+	"shallotreel.example/shallotreel/settings"
+)
+
+const (
+	defaultMemoryMB = 256 // of a process whose limit is unknown
+	bytesPerMB      = 1 << 20
+	// heldShare divides the memory of the process; one such part may be held for others. The rest is for the process itself, for garbage that is
+	// not collected yet, and for what the counts leave out.
+	heldShare = 4
+	// heapPercent is the part of the memory of the process from which the garbage collector works more often.
+	heapPercent = 75
+)
+
+// resources are what the process may use.
+type resources struct {
+	memory int64 // bytes
+}
+
+// resourcesOf returns the resources of the settings.
+func resourcesOf(config settings.Front) resources {
+	memoryMB := config.MemoryMB
+	if memoryMB == 0 {
+		memoryMB = defaultMemoryMB
+	}
+	return resources{memory: int64(memoryMB) * bytesPerMB}
+}
+
+// limitHeap makes the garbage collector keep the heap within the memory of the process.
+func (resources resources) limitHeap() {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(resources.memory / 100 * heapPercent)
+}
+
+// addDoor returns the door of another address.
+func (front *Front) addDoor() *intake.Door {
+	door := front.memory.Door(math.MaxInt)
+	front.doors = append(front.doors, door)
+	return door
+}
+
+// updateHeldGauges sets the gauges of what is held for others.
+func (front *Front) updateHeldGauges() {
+	connections, refused := 0, uint64(0)
+	for _, door := range front.doors {
+		connections += door.Open()
+		refused += door.Refused()
+	}
+	front.scope.Gauge("held_bytes").Update(float64(front.memory.Held()))
+	front.scope.Gauge("held_connections").Update(float64(connections))
+	front.scope.Gauge("connections_refused").Update(float64(refused))
+	front.scope.Gauge("connections_ended").Update(float64(front.memory.Ended()))
+}
--- a/shallotreel/ingress/body.go
+++ b/shallotreel/ingress/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -15,20 +16,24 @@
 const (
 	// defaultMaxBody is the limit of a request body in bytes if the configuration sets none.
 	defaultMaxBody = 1 << 20
-	// maxPendingBodies is the limit of all request bodies in bytes that are not complete yet.
-	maxPendingBodies = 32 << 20
-	// bodiesRetryAfter is the Retry-After of a request that is refused because of that limit.
-	bodiesRetryAfter = time.Second
+	// requestBytes and serviceBytes are the memory of a request in progress, and of what it does at one service.
+	requestBytes = 16 << 10
+	serviceBytes = 1 << 10
+	// memoryRetryAfter is the Retry-After of a request that is refused because there is no memory for it.
+	memoryRetryAfter = time.Second
 
-	reasonBodies = "too many bytes of incomplete requests are held"
+	reasonMemory     = "too much memory is held for other requests"
+	reasonIncomplete = "the request is not complete at its deadline"
 )
 
-// PendingBytes returns the size of all request bodies that are not complete yet, in bytes.
-func (handler *Handler) PendingBytes() int64 { return handler.bodies.Held() }
+// noMemory is the end of a request for which there is no memory.
+func noMemory() *query.Finish {
+	return &query.Finish{Code: result.Overloaded, Reason: reasonMemory, RetryAfter: memoryRetryAfter}
+}
 
-// readBody reads the body of the request, up to the limit of the configuration. It returns the refusal of a request whose body cannot be
-// read.
-func (handler *Handler) readBody(writer http.ResponseWriter, request *http.Request, limits catalogue.Limits) ([]byte, *query.Finish) {
+// readBody reads the body of the request, up to the limit of the configuration and to the deadline, and counts it for the hold. It returns
+// the refusal of a request whose body cannot be read.
+func readBody(writer http.ResponseWriter, request *http.Request, limits catalogue.Limits, deadline time.Time, hold *intake.Hold) ([]byte, *query.Finish) {
 	if request.ContentLength == 0 {
 		return nil, nil
 	}
@@ -40,13 +45,15 @@
 	if request.ContentLength > 0 {
 		limit = min(limit, request.ContentLength)
 	}
-	body, err := handler.bodies.ReadAll(reader, limit)
+	body, err := intake.ConnOf(request.Context()).ReadBody(hold, reader, limit, deadline)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge), errors.Is(err, intake.ErrTooLong):
 		return nil, &query.Finish{Code: result.TooLarge}
 	case errors.Is(err, intake.ErrExhausted):
-		return nil, &query.Finish{Code: result.Overloaded, Reason: reasonBodies, RetryAfter: bodiesRetryAfter}
+		return nil, noMemory()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, &query.Finish{Code: result.TooLate, Reason: reasonIncomplete}
 	case err != nil:
 		return nil, &query.Finish{Code: result.BadRequest}
 	}
--- a/shallotreel/ingress/body_test.go
+++ b/shallotreel/ingress/body_test.go
@@ -23,7 +23,7 @@
 // TestManyBodiesOfCallers guards against the memory that many bodies of callers take together, each of which is within its limit and not
 // complete, while ordinary requests are served as ever.
 func TestManyBodiesOfCallers(t *testing.T) {
-	const callers, sent = 150, 900 << 10
+	const callers, sent, most = 150, 900 << 10, 64 << 20
 	fixture := newFixtureAt(t, writeRoute, listenRaw(t, answerWith("HTTP/1.1 200 OK")))
 	server := httptest.NewServer(fixture.handler)
 	t.Cleanup(server.Close)
@@ -48,8 +48,8 @@
 		}()
 	}
 	time.Sleep(500 * time.Millisecond) // most bodies are read but for their last byte
-	if grown := heapBytes() - before; grown > 2*maxPendingBodies {
-		t.Errorf("%d bodies that are not complete take %d bytes, want %d at most", callers, grown, 2*maxPendingBodies)
+	if grown := heapBytes() - before; grown > most {
+		t.Errorf("%d bodies that are not complete take %d bytes, want %d at most", callers, grown, most)
 	}
 	recorder := fixture.request(http.MethodPost, "/x/a", "w")
 	assertStatus(t, recorder, http.StatusOK)
@@ -64,9 +64,9 @@
 	for _, conn := range conns {
 		conn.Close()
 	}
-	for deadline := time.Now().Add(5 * time.Second); fixture.handler.bodies.Held() > 0; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(5 * time.Second); fixture.handler.memory.Held() > 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("%d bytes are still counted", fixture.handler.bodies.Held())
+			t.Fatalf("%d bytes are still counted", fixture.handler.memory.Held())
 		}
 	}
 }
--- a/shallotreel/ingress/fingerprint_test.go
+++ b/shallotreel/ingress/fingerprint_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"shallotreel.example/platform"
 	"shallotreel.example/reel/catalogue"
@@ -19,8 +20,7 @@
 	request := httptest.NewRequest(method, path, strings.NewReader(body))
 	request.Header, request.ContentLength = header, length
 	request.RequestURI = path
-	handler := &Handler{bodies: intake.NewBudget(maxPendingBodies)}
-	read, refusal := handler.readBody(httptest.NewRecorder(), request, catalogue.Limits{BodyBytes: 1 << 20})
+	read, refusal := readBody(httptest.NewRecorder(), request, catalogue.Limits{BodyBytes: 1 << 20}, time.Time{}, intake.NewMemory(1<<20).Hold())
 	if refusal != nil {
 		t.Fatalf("the body is refused: %+v", refusal)
 	}
--- a/shallotreel/ingress/handler.go
+++ b/shallotreel/ingress/handler.go
@@ -39,7 +39,7 @@
 	relaysRefused      atomic.Bool  // whether no more requests of other instances are served
 	helpersVersion     versionFloor // newest configuration by which helpers have served callers of this instance
 	lifetime           *lifetime
-	bodies             *intake.Budget            // of callers' requests
+	memory             *intake.Memory            // of requests and answers
 	answerBy           atomic.Pointer[time.Time] // when the last answers must be written, nil unless the process stops
 }
 
@@ -94,7 +94,7 @@
 func New(catalogue Registry, router *Router, pool *connpool.Pool, crashes *crashwatch.Watch, path *reachwatch.Watch,
 	helpers Helpers, recorder Recorder, options ...Option) *Handler {
 	handler := &Handler{catalogue: catalogue, router: router, pool: pool, crashes: crashes, path: path, helpers: helpers, recorder: recorder,
-		admission: silentAdmission(), lifetime: newLifetime(), bodies: intake.NewBudget(maxPendingBodies)}
+		admission: silentAdmission(), lifetime: newLifetime(), memory: pool.Memory()}
 	for _, option := range options {
 		option(handler)
 	}
@@ -126,30 +126,38 @@
 	requestHead := platform.ParseRequestHead(request)
 	view := handler.catalogue.View()
 	record := Record{ID: requestHead.ID, CatalogueSerial: view.Serial, CallerTimeout: requestHead.Timeout}
+	hold := handler.memory.Hold()
+	defer hold.Release()
+	caller := newCaller(writer, request)
 	if view.Configuration == nil || !handler.isOpen.Load() {
-		handler.refuse(writer, start, record, query.Finish{Code: result.NotReady, RetryAfter: notReadyRetryAfter})
+		handler.refuse(caller, start, record, query.Finish{Code: result.NotReady, RetryAfter: notReadyRetryAfter})
 		return
 	}
 	record.Version = view.Configuration.Version
 	route, ok := view.Configuration.FindRoute(requestHead.Host, requestHead.Path())
 	if !ok {
-		handler.refuse(writer, start, record, query.Finish{Code: result.UnknownRoute})
+		handler.refuse(caller, start, record, query.Finish{Code: result.UnknownRoute})
 		return
 	}
 	record.Route, record.Goal = route.Name, route.Goal
-	body, refusal := handler.readBody(writer, request, view.Configuration.Limits)
+	plan := handler.plan(start, requestHead, route)
+	if err := hold.Grow(intake.Work, requestBytes); err != nil {
+		handler.refuse(caller, start, record, *noMemory())
+		return
+	}
+	body, refusal := readBody(writer, request, view.Configuration.Limits, plan.Deadline, hold)
 	if refusal != nil {
-		handler.refuse(writer, start, record, *refusal)
+		handler.refuse(caller, start, record, *refusal)
 		return
 	}
-	plan := handler.plan(start, requestHead, route)
+	caller.sendsBody = false
 	if refusal := handler.refuseLate(time.Now(), &plan); refusal != nil {
-		handler.refuse(writer, start, record, *refusal)
+		handler.refuse(caller, start, record, *refusal)
 		return
 	}
-	run := handler.newRun(start, incoming{request, requestHead, body}, plan, record)
+	run := handler.newRun(start, incoming{request, requestHead, body}, plan, record, hold)
 	finish := run.serve(request.Context(), view)
-	handler.write(writer, finish)
+	handler.write(caller, finish)
 	run.recordEnd(finish)
 }
 
@@ -161,14 +169,14 @@
 }
 
 // newRun returns the run of a request by the plan.
-func (handler *Handler) newRun(start time.Time, request incoming, plan query.Plan, record Record) *run {
+func (handler *Handler) newRun(start time.Time, request incoming, plan query.Plan, record Record, hold *intake.Hold) *run {
 	record.Fingerprint = fingerprintOf(request.Request, request.head, request.body)
 	if plan.Services == nil {
 		plan.Services = handler.router.SelectServices(plan.Route)
 	}
 	plan.Fingerprint = record.Fingerprint
 	record.Route, record.Goal, record.Parts = plan.Route.Name, plan.Route.Goal, len(plan.Services)
-	return &run{handler: handler, start: start, record: record, plan: plan, request: request,
+	return &run{handler: handler, hold: hold, start: start, record: record, plan: plan, request: request,
 		outbound: platform.NewOutboundRequest(request.Request, request.head, request.body), calls: map[uint64]*connpool.Call{}}
 }
 
@@ -183,41 +191,37 @@
 }
 
 // refuse ends a request for which no attempt is made.
-func (handler *Handler) refuse(writer http.ResponseWriter, start time.Time, record Record, finish query.Finish) {
-	handler.write(writer, finish)
+func (handler *Handler) refuse(caller *caller, start time.Time, record Record, finish query.Finish) {
+	handler.write(caller, finish)
 	record.Code, record.Reason, record.Took = finish.Code, finish.Reason, time.Since(start)
 	handler.recorder.Record(record)
 }
 
-func (handler *Handler) write(writer http.ResponseWriter, finish query.Finish) {
-	header := writer.Header()
+func (handler *Handler) write(caller *caller, finish query.Finish) {
+	header := caller.Header()
+	caller.prepare(&finish)
 	switch finish.Code {
 	case result.OK, result.Partial:
 		if finish.Answer != nil {
-			handler.relay(writer, finish.Answer)
+			relayAnswer(caller, finish.Answer)
 			return
 		}
 		platform.SetMergedHeader(header, finish.Signatures, finish.Missing)
-		writeBody(writer, http.StatusOK, finish.Body)
+		caller.write(http.StatusOK, finish.Body)
 	case result.Relayed:
-		handler.relay(writer, finish.Answer)
+		relayAnswer(caller, finish.Answer)
 	default:
 		if finish.RetryAfter > 0 {
 			platform.SetRetryAfter(header, finish.RetryAfter)
 		}
-		writeBody(writer, statusOf(finish.Code), []byte(finish.Code.String()+"\n"))
+		caller.write(statusOf(finish.Code), []byte(finish.Code.String()+"\n"))
 	}
 }
 
-// relay writes the response of a target as the answer.
-func (handler *Handler) relay(writer http.ResponseWriter, answer *query.Answer) {
-	platform.CopyResponseHeader(writer.Header(), answer.Header)
-	writeBody(writer, answer.Status, answer.Body)
-}
-
-func writeBody(writer http.ResponseWriter, status int, body []byte) {
-	writer.WriteHeader(status)
-	_, _ = writer.Write(body) // fails only if the caller has disconnected and needs no answer
+// relayAnswer writes the response of a target as the answer.
+func relayAnswer(caller *caller, answer *query.Answer) {
+	platform.CopyResponseHeader(caller.Header(), answer.Header)
+	caller.write(answer.Status, answer.Body)
 }
 
 // statusOf returns the HTTP status for a code without a response of a target.
--- a/shallotreel/ingress/handover.go
+++ b/shallotreel/ingress/handover.go
@@ -15,6 +15,7 @@
 	"shallotreel.example/reel/result"
 	"shallotreel.example/reel/statusline"
 	"shallotreel.example/shallotreel/connpool"
+	"shallotreel.example/shallotreel/intake"
 	"shallotreel.example/shallotreel/relay"
 )
 
@@ -161,6 +162,10 @@
 
 // handOver has the request served by way of another instance. The request was counted here if it was tried here.
 func (run *run) handOver(ctx context.Context, reason string) query.Finish {
+	if err := run.hold.Grow(intake.Message, len(run.request.body)); err != nil { // for the copy that is sent
+		return *noMemory()
+	}
+	defer run.hold.Shrink(intake.Message, len(run.request.body))
 	now := time.Now()
 	version := max(run.record.Version, run.handler.helpersVersion.get(now))
 	request := relay.Request{Origin: run.handler.router.home.Name, Method: run.request.Method, Host: run.request.Host, URI: run.request.head.RequestURI,
@@ -238,6 +243,11 @@
 	if refusal := handler.refusalOf(relayed, view); refusal != "" {
 		return relay.Reply{Refusal: refusal}
 	}
+	hold := handler.memory.Hold()
+	defer hold.Release()
+	if hold.Grow(intake.Work, requestBytes) != nil || hold.Grow(intake.Message, len(relayed.Body)) != nil {
+		return relay.Reply{Refusal: relay.RefusedBusy}
+	}
 	handler.requests.Add(1)
 	request := requestOf(relayed)
 	head := platform.ParseRequestHead(request)
@@ -258,7 +268,7 @@
 	if handler.refuseLate(start, &plan) != nil {
 		return relay.Reply{Refusal: relay.RefusedStopping}
 	}
-	run := handler.newRun(start, incoming{request, head, relayed.Body}, plan, record)
+	run := handler.newRun(start, incoming{request, head, relayed.Body}, plan, record, hold)
 	run.isRelayed = true
 	finish := run.run(ctx)
 	finish = finish.Truthful(run.mayHaveRun())
--- a/shallotreel/ingress/report_test.go
+++ b/shallotreel/ingress/report_test.go
@@ -165,9 +165,9 @@
 				}
 				assertStatus(t, fixture.request(http.MethodGet, "/x/a", ""), want.status)
 				pool := fixture.handler.pool
-				for deadline := time.Now().Add(5 * time.Second); pool.PendingBytes() > 0; time.Sleep(time.Millisecond) {
+				for deadline := time.Now().Add(5 * time.Second); pool.Memory().Held() > 0; time.Sleep(time.Millisecond) {
 					if time.Now().After(deadline) {
-						t.Fatalf("%d bytes are still counted after the request", pool.PendingBytes())
+						t.Fatalf("%d bytes are still counted after the request", pool.Memory().Held())
 					}
 				}
 			})
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"shallotreel.example/platform"
 	"shallotreel.example/reel/catalogue"
 	"shallotreel.example/reel/choice"
@@ -16,6 +18,7 @@
 	"shallotreel.example/reel/result"
 	"shallotreel.example/shallotreel/connpool"
 	"shallotreel.example/shallotreel/crashwatch"
+	"shallotreel.example/shallotreel/intake"
 )
 
 const (
@@ -34,6 +37,7 @@
 // run is one request in progress. Only the goroutine that serves the caller uses it, except for handleResult.
 type run struct {
 	handler        *Handler
+	hold           *intake.Hold
 	start          time.Time
 	request        incoming
 	plan           query.Plan
@@ -63,6 +67,9 @@
 
 // run serves the request until the machine ends it or the caller disconnects.
 func (run *run) run(ctx context.Context) query.Finish {
+	if err := run.hold.Grow(intake.Work, serviceBytes*len(run.plan.Services)); err != nil {
+		return *noMemory()
+	}
 	if refusal := run.admit(ctx); refusal != nil {
 		return *refusal
 	}
@@ -178,7 +185,8 @@
 		Suspicion: suspicion})
 	call := &connpool.Call{Address: target.Address, Method: run.outbound.Method, MaxBody: maxBody(run.plan.Route), RequireFresh: !run.plan.Repeatable(),
 		Request: run.outbound.EncodeAttempt(target.ID, send.Deadline.Sub(now)), ID: run.outbound.ID, EchoedID: platform.EchoedID,
-		History: &run.history}
+		History: &run.history, Hold: run.hold}
+	run.hold.Retain() // until handleResult
 	call.Refresh = func(now time.Time) (net.Buffers, bool) {
 		left := send.Deadline.Sub(now)
 		return run.outbound.EncodeAttempt(target.ID, left), left > 0
@@ -201,6 +209,7 @@
 // handleResult records the end of a call for its target and passes it to the request. It may run on any
 // goroutine, usually that of the connection.
 func (run *run) handleResult(send query.Send, ended connpool.Result) {
+	defer run.hold.Release()
 	answer, report, outcome := run.classify(ended)
 	if (outcome == choice.Failed || outcome == choice.Abandoned) && run.handler.path.IsLost() {
 		outcome, report.Broken = choice.Inconclusive, false
@@ -234,6 +243,9 @@
 		if ended.Sent {
 			answer.Execution = query.MayHaveRun
 		}
+		if errors.Is(ended.Err, intake.ErrExhausted) {
+			return answer, choice.Report{}, choice.Inconclusive // says nothing of the target
+		}
 		switch ended.Err {
 		case connpool.ErrCanceled:
 			return answer, choice.Report{}, choice.Abandoned
--- /dev/null
+++ b/shallotreel/intake/conn.go
@@ -0,0 +1,112 @@
+package intake
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// Phases of a connection.
+const (
+	inHead    = int32(iota) // the caller sends a head, or nothing
+	inBody                  // the caller sends a body
+	inRequest               // a request is in progress
+)
+
+const (
+	headSlack         = 4 << 10 // bytes of a head beyond the limit, as net/http allows
+	headTooLongAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// Conn is a connection of a caller. The server changes its state only while it does not read.
+type Conn struct {
+	net.Conn
+	door  *Door
+	hold  *Hold
+	head  *Head
+	phase atomic.Int32
+}
+
+// ConnOf returns the connection of a request, or nil if it came through no door.
+func ConnOf(ctx context.Context) *Conn {
+	conn, _ := ctx.Value(connKey{}).(*Conn)
+	return conn
+}
+
+// end ends the connection so that others have room. The caller of an incomplete body gets an answer.
+func (conn *Conn) end() {
+	if conn.phase.Load() == inBody {
+		_ = conn.SetReadDeadline(past) // fails only if the connection has ended
+		return
+	}
+	conn.Close()
+}
+
+// Read implements io.Reader.
+func (conn *Conn) Read(buffer []byte) (int, error) {
+	if conn.phase.Load() != inHead {
+		return conn.Conn.Read(buffer)
+	}
+	if int64(conn.head.Bytes()) >= conn.door.maxHead.Load()+headSlack {
+		conn.door.refused.Add(1)
+		_, _ = io.WriteString(conn.Conn, headTooLongAnswer) // the caller may have gone
+		return 0, closeQuietly(ErrTooLong)
+	}
+	size, err := conn.Conn.Read(buffer)
+	if exhausted := conn.head.Add(buffer[:size]); exhausted != nil {
+		conn.door.refused.Add(1)
+		return 0, closeQuietly(exhausted)
+	}
+	return size, err
+}
+
+// closeQuietly returns an error of Read after which the server closes the connection without an answer.
+func closeQuietly(err error) error { return &net.OpError{Op: "read", Net: "tcp", Err: err} }
+
+// CloseWrite ends the direction to the caller, by which the server lets it read an answer that comes before the end of its request.
+func (conn *Conn) CloseWrite() error {
+	closer, ok := conn.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return closer.CloseWrite()
+}
+
+// LimitRead makes reads fail after the time, until the next request. The connection may be nil.
+func (conn *Conn) LimitRead(until time.Time) {
+	if conn != nil {
+		_ = conn.SetReadDeadline(until) // fails only if the connection has ended
+	}
+}
+
+// ReadBody reads the body of a request up to the deadline, and counts it for the hold of the request. Until it is complete, the memory may
+// end it. The error is ErrTooLong, ErrExhausted, or os.ErrDeadlineExceeded. The connection may be nil, and the deadline may be zero for none.
+func (conn *Conn) ReadBody(request *Hold, reader io.Reader, limit int64, deadline time.Time) ([]byte, error) {
+	if conn == nil {
+		return ReadAll(request, Message, reader, limit)
+	}
+	if err := conn.SetReadDeadline(deadline); err != nil {
+		return nil, err
+	}
+	conn.phase.Store(inBody)
+	conn.hold.Wait()
+	body, err := ReadAll(conn.hold, Message, reader, limit)
+	kept := conn.hold.Busy()
+	conn.phase.Store(inRequest)
+	switch {
+	case !kept:
+		return nil, ErrExhausted
+	case err != nil:
+		return nil, err
+	}
+	request.take(conn.hold, Message, len(body))
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		return nil, err
+	}
+	return body, nil
+}
--- a/shallotreel/intake/doc.go
+++ b/shallotreel/intake/doc.go
@@ -1,3 +1,3 @@
-// Package intake bounds the memory that is taken by messages from outside while they are not complete, so that nobody who sends bytes without
-// end, or many long messages at once, can exhaust it.
+// Package intake bounds the memory and the connections that a process holds for others, so that nobody who sends bytes without end, many long
+// messages at once, or nothing at all can exhaust them. All that is held counts for one Memory, from its arrival to the end of its use.
 package intake
--- a/shallotreel/intake/listener_test.go
+++ b/shallotreel/intake/door_test.go
@@ -14,23 +14,23 @@
 
 const waitLimit = 5 * time.Second
 
-// serveHeads starts a server whose heads count, and which answers with the length of the body. The function is called by each request.
-func serveHeads(t *testing.T, limit int64, called func()) (*Heads, string) {
+// serve starts a server behind a door, which answers with the length of the body. The function is called by each request.
+func serve(t *testing.T, memory *Memory, most int, called func()) (*Door, string) {
 	t.Helper()
-	heads := NewHeads(limit)
+	door := memory.Door(most)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{MaxHeaderBytes: MaxHeadBytes, ConnState: heads.Follow,
-		Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	server := &http.Server{ConnState: door.Follow, ConnContext: door.Context,
+		Handler: door.Handler(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 			called()
 			size, err := io.Copy(io.Discard, request.Body)
 			fmt.Fprint(writer, size, err)
-		})}
-	go func() { _ = server.Serve(heads.Listener(listener)) }() // ends with the listener
+		}))}
+	go func() { _ = server.Serve(door.Listener(listener)) }() // ends with the listener
 	t.Cleanup(func() { server.Close() })
-	return heads, listener.Addr().String()
+	return door, listener.Addr().String()
 }
 
 // dial connects to the server and sends the text.
@@ -60,11 +60,12 @@
 	return response.StatusCode, string(body), err
 }
 
-func assertNothingHeld(t *testing.T, heads *Heads) {
+// assertHeld checks that so many bytes are counted in the end.
+func assertHeld(t *testing.T, memory *Memory, want int64) {
 	t.Helper()
-	for deadline := time.Now().Add(waitLimit); heads.Held() != 0; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(waitLimit); memory.Held() != want; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("%d bytes are still counted", heads.Held())
+			t.Fatalf("%d bytes are still counted, want %d", memory.Held(), want)
 		}
 	}
 }
@@ -87,7 +88,8 @@
 		"long lines":  strings.Repeat("X: "+strings.Repeat("y", 1000)+"\r\n", 62),
 	} {
 		t.Run(name, func(t *testing.T) {
-			heads, address := serveHeads(t, limit, func() {})
+			memory := NewMemory(limit)
+			_, address := serve(t, memory, 2*callers, func() {})
 			runtime.GC()
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
@@ -101,8 +103,8 @@
 			if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > 3*limit {
 				t.Errorf("%d heads that are not complete take %d bytes, want %d at most", callers, grown, 3*limit)
 			}
-			if heads.Refused() == 0 {
-				t.Error("no head was refused")
+			if memory.Ended() == 0 {
+				t.Error("no head was ended")
 			}
 			status, _, err := answer(bufio.NewReader(dial(t, address, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")))
 			if err != nil || status != http.StatusOK {
@@ -111,25 +113,25 @@
 			for _, conn := range conns {
 				conn.Close()
 			}
-			assertNothingHeld(t, heads)
+			assertHeld(t, memory, 0)
 		})
 	}
 }
 
 // TestHeadsOfRequests checks what is counted of the requests on one connection, and when it ends.
 func TestHeadsOfRequests(t *testing.T) {
-	var heads *Heads
+	memory := NewMemory(1 << 20)
 	held := make(chan int64, 1)
-	heads, address := serveHeads(t, 1<<20, func() { held <- heads.Held() })
+	_, address := serve(t, memory, 1, func() { held <- memory.Held() - connectionBytes })
 	body := strings.Repeat("\n", 200<<10) // lines of a body do not count
-	request := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body))
+	request := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nX: %s\r\nContent-Length: %d\r\n\r\n", strings.Repeat("y", freeHeadBytes), len(body))
 	conn := dial(t, address, "")
 	reader := bufio.NewReader(conn)
 	for range 3 {
 		if _, err := fmt.Fprint(conn, request); err != nil {
 			t.Fatal(err)
 		}
-		if bytes := <-held; bytes < int64(len(request)) || bytes > int64(len(request)+10*headLineBytes) {
+		if bytes := <-held; bytes < int64(len(request)-freeHeadBytes) || bytes > int64(len(request)-freeHeadBytes+10*headLineBytes) {
 			t.Errorf("%d bytes are counted for a head of %d", bytes, len(request))
 		}
 		if _, err := fmt.Fprint(conn, body); err != nil {
@@ -139,34 +141,81 @@
 		if err != nil || status != http.StatusOK || !strings.HasPrefix(text, fmt.Sprint(len(body))) {
 			t.Fatalf("status %d, %q, %v", status, text, err)
 		}
-		assertNothingHeld(t, heads)
+		assertHeld(t, memory, connectionBytes)
 	}
 	conn.Close()
-	if heads.Refused() != 0 {
-		t.Errorf("%d connections were closed", heads.Refused())
+	assertHeld(t, memory, 0)
+	if memory.Ended() != 0 {
+		t.Errorf("%d connections were closed", memory.Ended())
 	}
 }
 
 // TestHeadOfManyLines checks that a head that is alone is served whatever its lines are.
 func TestHeadOfManyLines(t *testing.T) {
-	heads, address := serveHeads(t, 1<<20, func() {})
+	memory := NewMemory(1 << 20)
+	_, address := serve(t, memory, 1, func() {})
 	conn := dial(t, address, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", 4<<10)+shortLines(32<<10)+"Connection: close\r\n\r\n")
 	if status, _, err := answer(bufio.NewReader(conn)); err != nil || status != http.StatusOK {
 		t.Errorf("status %d, %v, want 200", status, err)
 	}
-	assertNothingHeld(t, heads)
+	assertHeld(t, memory, 0)
 }
 
 // TestRefusedHeads checks how a head ends that may not be kept.
 func TestRefusedHeads(t *testing.T) {
 	t.Run("no memory left", func(t *testing.T) {
-		heads, address := serveHeads(t, 1<<10, func() { t.Error("the request is served") })
-		heads.budget.Grow(0, 1<<10, 0) // of another caller
+		memory := NewMemory(64 << 10)
+		_, address := serve(t, memory, 1, func() { t.Error("the request is served") })
+		other, err := memory.Open(Work, 32<<10)
+		if err != nil {
+			t.Fatal(err)
+		}
 		conn := dial(t, address, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("X: "+strings.Repeat("y", 1000)+"\r\n", 20)+"\r\n")
 		if status, _, err := answer(bufio.NewReader(conn)); err == nil {
 			t.Errorf("status %d, want a closed connection without an answer", status)
 		}
-		heads.budget.Release(1 << 10)
-		assertNothingHeld(t, heads)
+		other.Release()
+		assertHeld(t, memory, 0)
+	})
+	t.Run("too long", func(t *testing.T) {
+		memory := NewMemory(1 << 20)
+		door, address := serve(t, memory, 1, func() { t.Error("the request is served") })
+		door.SetMaxHead(16 << 10)
+		conn := dial(t, address, "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("y", 16<<10+headSlack))
+		if status, _, err := answer(bufio.NewReader(conn)); err != nil || status != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("status %d, %v, want 431", status, err)
+		}
+		assertHeld(t, memory, 0)
 	})
 }
+
+// TestDoor checks that a new connection takes the place of the one that has waited longest, and that a request in progress keeps its own.
+func TestDoor(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	memory := NewMemory(1 << 20)
+	called, proceed := make(chan bool, 9), make(chan bool, 9)
+	door, address := serve(t, memory, 2, func() { called <- true; <-proceed })
+	busy := dial(t, address, request)
+	<-called
+	silent := dial(t, address, "")
+	assertHeld(t, memory, 2*connectionBytes)
+	newer := dial(t, address, request)
+	<-called
+	if size, err := silent.Read(make([]byte, 1)); err == nil {
+		t.Errorf("%d bytes on the connection that has waited longest, want its end", size)
+	}
+	refused := dial(t, address, "")
+	if size, err := refused.Read(make([]byte, 1)); err == nil {
+		t.Errorf("%d bytes on a connection for which none can be closed, want its end", size)
+	}
+	proceed <- true
+	proceed <- true
+	for _, conn := range []net.Conn{busy, newer} {
+		if status, _, err := answer(bufio.NewReader(conn)); err != nil || status != http.StatusOK {
+			t.Errorf("status %d, %v, want 200", status, err)
+		}
+	}
+	if door.Open() != 2 || door.Refused() != 1 || memory.Ended() != 1 {
+		t.Errorf("%d are open, %d were refused, %d ended; want 2, 1 and 1", door.Open(), door.Refused(), memory.Ended())
+	}
+}
--- a/shallotreel/intake/head.go
+++ b/shallotreel/intake/head.go
@@ -3,28 +3,30 @@
 import "bytes"
 
 const (
-	// MaxHeadBytes is the limit of the first line and the header of a message, with those of interim responses before it.
+	// MaxHeadBytes is the limit of the first line and the header of a message, with those of interim responses before it, where no
+	// configuration names one.
 	MaxHeadBytes = 64 << 10
 	// MaxHeadLines is the limit of the lines of a response's head, which has few. Those of a request are bounded by their cost alone.
 	MaxHeadLines = 1000
 
 	headLineBytes = 96      // memory that a line of a head takes besides its bytes
-	freeHeadBytes = 8 << 10 // memory of a head, beyond which it fails when the budget is used up
+	freeHeadBytes = 4 << 10 // memory of a head that is counted with its connection
 )
 
 // Head counts the memory of the head of a message. It is not safe for concurrent use.
 type Head struct {
-	budget *Budget
-	bytes  int
-	lines  int
-	held   int // bytes that are counted
+	hold  *Hold // of the connection
+	use   Use
+	bytes int
+	lines int
+	held  int // bytes that are counted
 }
 
-// NewHead returns a head without bytes, which counts for the budget.
-func NewHead(budget *Budget) *Head { return &Head{budget: budget} }
+// NewHead returns a head without bytes, which counts for the hold of its connection.
+func NewHead(hold *Hold, use Use) *Head { return &Head{hold: hold, use: use} }
 
-// Left returns the number of bytes that the head may still have.
-func (head *Head) Left() int { return max(MaxHeadBytes-head.bytes, 0) }
+// Bytes returns the number of bytes that were added.
+func (head *Head) Bytes() int { return head.bytes }
 
 // HasAllLines reports whether the head may have no more lines.
 func (head *Head) HasAllLines() bool { return head.lines >= MaxHeadLines }
@@ -33,9 +35,12 @@
 func (head *Head) Add(data []byte) error {
 	head.bytes += len(data)
 	head.lines += bytes.Count(data, []byte{'\n'})
-	held := head.bytes + head.lines*headLineBytes
-	if !head.budget.Grow(head.held, held, freeHeadBytes) {
-		return ErrExhausted
+	held := max(head.bytes+head.lines*headLineBytes-freeHeadBytes, 0)
+	if held == head.held {
+		return nil
+	}
+	if err := head.hold.Grow(head.use, held-head.held); err != nil {
+		return err
 	}
 	head.held = held
 	return nil
@@ -43,6 +48,8 @@
 
 // Reset ends the count of the head, and begins another one.
 func (head *Head) Reset() {
-	head.budget.Release(head.held)
+	if head.held > 0 {
+		head.hold.Shrink(head.use, head.held)
+	}
 	head.bytes, head.lines, head.held = 0, 0, 0
 }
