Front: callers' connections leave descriptors for the rest

Cause: nothing bounded the number of connections; one that sends nothing stayed ten seconds before its first head and two minutes afterwards. Change: the door of each address takes a share of max_descriptors, or of the system's limit if that is lower: callers half, each other address a 32nd. The next connection closes the one that has waited longest for its caller; while all are busy, it is closed itself, unread, so that its caller may try another instance.

--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -165,7 +165,7 @@
 	if front.peerServer, err = peerrpc.Serve(config.PeerAddress, cataloguesync.NewService(front.feed), relayServer.Service()); err != nil {
 		return err
 	}
-	front.callerDoor = front.addDoor()
+	front.callerDoor = front.addDoor(callerShare)
 	front.callerServer, err = front.serve(config.CallerAddress, front.callerDoor, front.handler)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
@@ -187,7 +187,7 @@
 
 // servePage starts an HTTP server for others than callers at the address, which read no bodies.
 func (front *Front) servePage(address netip.AddrPort, handler http.Handler) error {
-	_, err := front.serve(address, front.addDoor(), withoutBodies(handler))
+	_, err := front.serve(address, front.addDoor(pageShare), withoutBodies(handler))
 	return err
 }
 
--- a/shallotreel/front/resources.go
+++ b/shallotreel/front/resources.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"runtime/debug"
+	"syscall"
 
 	"shallotreel.example/shallotreel/intake"
 	"shallotreel.example/shallotreel/settings"
@@ -16,20 +17,41 @@
 	heldShare = 4
 	// heapPercent is the part of the memory of the process from which the garbage collector works more often.
 	heapPercent = 75
+
+	// defaultDescriptors is the number of descriptors of a process if neither the settings nor the system limit it.
+	defaultDescriptors = 4096
+	// callerShare and pageShare divide the descriptors: callers and the clients of each other address get one such part. What is left is for
+	// peers, targets, the store and the process itself.
+	callerShare = 2
+	pageShare   = 32
 )
 
 // resources are what the process may use.
 type resources struct {
-	memory int64 // bytes
+	memory      int64 // bytes
+	descriptors int
 }
 
-// resourcesOf returns the resources of the settings.
+// resourcesOf returns the resources of the settings. The system may allow fewer descriptors.
 func resourcesOf(config settings.Front) resources {
 	memoryMB := config.MemoryMB
 	if memoryMB == 0 {
 		memoryMB = defaultMemoryMB
 	}
-	return resources{memory: int64(memoryMB) * bytesPerMB}
+	descriptors := config.MaxDescriptors
+	if descriptors == 0 {
+		descriptors = defaultDescriptors
+	}
+	return resources{memory: int64(memoryMB) * bytesPerMB, descriptors: min(descriptors, systemDescriptors())}
+}
+
+// systemDescriptors returns how many descriptors the system allows the process.
+func systemDescriptors() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return math.MaxInt32
+	}
+	return int(limit.Cur)
 }
 
 // limitHeap makes the garbage collector keep the heap within the memory of the process.
@@ -38,9 +60,9 @@
 	debug.SetMemoryLimit(resources.memory / 100 * heapPercent)
 }
 
-// addDoor returns the door of another address.
-func (front *Front) addDoor() *intake.Door {
-	door := front.memory.Door(math.MaxInt)
+// addDoor returns the door of another address, which lets in as many connections as one of so many shares of the descriptors.
+func (front *Front) addDoor(shares int) *intake.Door {
+	door := front.memory.Door(front.resources.descriptors / shares)
 	front.doors = append(front.doors, door)
 	return door
 }
