Ingress: an answer must be read by the deadline of its request, and gives way to those that are

What callers saw: a caller that doesn't read its answer keeps its connection, its goroutine and up to 8 MiB until it disconnects, which may be never. As complete answers count for the memory, a few such callers left no room for the answers of others. Cause: answers were written without a time limit, and a connection with an answer counted as busy, which is never ended. Change: answers must be taken until a second after the deadline of the request, when its caller has left; answers at other addresses within ten seconds. While a longer answer is written, in pieces of 64 KiB, its connection may be ended when another has no room, the one first that has taken no piece for longest.

--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -49,10 +49,11 @@
 	storeDialTimeout  = 500 * time.Millisecond
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
-	maxHeadBytes      = 1 << 20         // that a configuration may allow
-	thousandths       = 1000            // of a core
-	gcPercent         = 50              // GOGC value; uses a third less memory than 150, for a seventh more CPU time
-	addressTTL        = 5 * time.Second // for which callers keep an address, unless the settings limit it further
+	maxHeadBytes      = 1 << 20          // that a configuration may allow
+	pageWriteTimeout  = 10 * time.Second // for answers on other addresses than that of callers
+	thousandths       = 1000             // of a core
+	gcPercent         = 50               // GOGC value; uses a third less memory than 150, for a seventh more CPU time
+	addressTTL        = 5 * time.Second  // for which callers keep an address, unless the settings limit it further
 	// healthLinesPerSecond limits the log lines about the health of targets.
 	healthLinesPerSecond = 50
 	maxAddresses         = 64                     // in one answer to an address query
@@ -166,7 +167,7 @@
 		return err
 	}
 	front.callerDoor = front.addDoor(callerShare)
-	front.callerServer, err = front.serve(config.CallerAddress, front.callerDoor, front.handler)
+	front.callerServer, err = front.serve(config.CallerAddress, front.callerDoor, 0, front.handler)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
@@ -187,7 +188,7 @@
 
 // servePage starts an HTTP server for others than callers at the address, which read no bodies.
 func (front *Front) servePage(address netip.AddrPort, handler http.Handler) error {
-	_, err := front.serve(address, front.addDoor(pageShare), withoutBodies(handler))
+	_, err := front.serve(address, front.addDoor(pageShare), pageWriteTimeout, withoutBodies(handler))
 	return err
 }
 
@@ -201,13 +202,13 @@
 	})
 }
 
-// serve starts an HTTP server behind the door at the address.
-func (front *Front) serve(address netip.AddrPort, door *intake.Door, handler http.Handler) (*http.Server, error) {
+// serve starts an HTTP server behind the door at the address. The handler itself limits the time for writing answers if writeTimeout is 0.
+func (front *Front) serve(address netip.AddrPort, door *intake.Door, writeTimeout time.Duration, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: door.Handler(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+	server := &http.Server{Handler: door.Handler(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
 		MaxHeaderBytes: maxHeadBytes, ConnState: door.Follow, ConnContext: door.Context, ErrorLog: log.New(front.log.WriterLevel(logrus.WarnLevel), "", 0)}
 	front.servers = append(front.servers, server)
 	go func() {
--- a/shallotreel/ingress/door_test.go
+++ b/shallotreel/ingress/door_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -111,3 +112,34 @@
 	used.Release()
 	assertMemory(t, memory, isNothing)
 }
+
+// TestUnreadAnswer checks that an answer that its caller doesn't read is counted, gives way to that of another caller, and ends after the
+// deadline of its request.
+func TestUnreadAnswer(t *testing.T) {
+	const size = 8<<20 - 1
+	answer := func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body) // shows in the next request
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nServer-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+		}
+	}
+	fixture := newFixtureAt(t, writeRoute, listenRaw(t, answer))
+	memory, address := serveBehindDoor(t, fixture, 28<<20)
+	first := visit(t, address, 900*time.Millisecond, 1, "x")
+	assertMemory(t, memory, func(held int64) bool { return held > size && held < size+1<<20 })
+	other := visit(t, address, 900*time.Millisecond, 1, "x")
+	length, err := io.Copy(io.Discard, other.assertAnswer(http.StatusOK).Body)
+	if length != size || err != nil {
+		t.Errorf("%d bytes of the other answer, %v, want %d", length, err, size)
+	}
+	other.conn.Close()
+	assertMemory(t, memory, isNothing)
+	if length, err = io.Copy(io.Discard, first.assertAnswer(http.StatusOK).Body); err == nil {
+		t.Errorf("the answer that was not read ends well after %d bytes", length)
+	}
+}
--- a/shallotreel/ingress/handler.go
+++ b/shallotreel/ingress/handler.go
@@ -128,7 +128,7 @@
 	record := Record{ID: requestHead.ID, CatalogueSerial: view.Serial, CallerTimeout: requestHead.Timeout}
 	hold := handler.memory.Hold()
 	defer hold.Release()
-	caller := newCaller(writer, request)
+	caller := newCaller(writer, request, hold)
 	if view.Configuration == nil || !handler.isOpen.Load() {
 		handler.refuse(caller, start, record, query.Finish{Code: result.NotReady, RetryAfter: notReadyRetryAfter})
 		return
@@ -141,6 +141,7 @@
 	}
 	record.Route, record.Goal = route.Name, route.Goal
 	plan := handler.plan(start, requestHead, route)
+	caller.readBy = plan.Deadline.Add(readGrace)
 	if err := hold.Grow(intake.Work, requestBytes); err != nil {
 		handler.refuse(caller, start, record, *noMemory())
 		return
--- a/shallotreel/intake/conn.go
+++ b/shallotreel/intake/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -13,10 +14,12 @@
 	inHead    = int32(iota) // the caller sends a head, or nothing
 	inBody                  // the caller sends a body
 	inRequest               // a request is in progress
+	inAnswer                // the caller reads an answer
 )
 
 const (
 	headSlack         = 4 << 10 // bytes of a head beyond the limit, as net/http allows
+	pieceBytes        = 64 << 10
 	headTooLongAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
@@ -110,3 +113,31 @@
 	}
 	return body, nil
 }
+
+// WriteAnswer writes the body of an answer, for which its caller may take until the deadline. While it writes a long one, the memory may
+// end the connection, which then holds the answers of the request. The connection may be nil.
+func (conn *Conn) WriteAnswer(request *Hold, writer io.Writer, body []byte, deadline time.Time) error {
+	if conn == nil {
+		_, err := writer.Write(body)
+		return err
+	}
+	if err := conn.SetWriteDeadline(deadline); err != nil {
+		return err
+	}
+	if len(body) <= firstChunkBytes {
+		_, err := writer.Write(body) // into the buffer of the server
+		return err
+	}
+	size := conn.hold.takeAnswers(request)
+	defer conn.hold.Shrink(Answer, size)
+	conn.phase.Store(inAnswer)
+	conn.hold.Wait()
+	defer conn.hold.Busy()
+	for piece := range slices.Chunk(body, pieceBytes) {
+		if _, err := writer.Write(piece); err != nil {
+			return err
+		}
+		conn.hold.Touch()
+	}
+	return nil
+}
--- a/shallotreel/intake/door.go
+++ b/shallotreel/intake/door.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
 // connectionBytes is the memory of a connection: its goroutine and buffers, and the first bytes of a head.
@@ -118,6 +119,7 @@
 		conn.hold.Busy()
 	case http.StateIdle:
 		conn.head.Reset()
+		_ = conn.SetWriteDeadline(time.Time{}) // fails only if the connection has ended
 		conn.phase.Store(inHead)
 		conn.hold.Wait()
 	case http.StateClosed, http.StateHijacked:
--- a/shallotreel/intake/memory.go
+++ b/shallotreel/intake/memory.go
@@ -176,6 +176,15 @@
 	hold.memory.move(hold, other, use, int64(size))
 }
 
+// takeAnswers moves the count of all answers of the other hold to this one, and returns their size in bytes.
+func (hold *Hold) takeAnswers(other *Hold) int {
+	hold.memory.mutex.Lock()
+	defer hold.memory.mutex.Unlock()
+	size := other.answer
+	hold.memory.move(hold, other, Answer, size)
+	return int(size)
+}
+
 func (memory *Memory) move(to, from *Hold, use Use, size int64) {
 	if !from.ended {
 		memory.add(from, use, -size)
