Peerrpc: the server accepts connections again after an error

What callers saw: after a moment without free descriptors an instance took no more connections of peers, until it was started again: no hand-over by way of it, and no copy of the catalogue. Change: the loop ends when the listener is closed; after another error it goes on, with a backoff up to a second and a log line. Evidence: TestAcceptAgain, a listener that fails three times; with the return of before the call never ends. Serve takes its options behind the services.

--- a/shallotreel/cataloguesync/cataloguesync_test.go
+++ b/shallotreel/cataloguesync/cataloguesync_test.go
@@ -33,7 +33,7 @@
 	}
 	address := netip.MustParseAddrPort(listener.Addr().String())
 	listener.Close()
-	server, err := peerrpc.Serve(address, NewService(source))
+	server, err := peerrpc.Serve(address, []peerrpc.Service{NewService(source)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/shallotreel/feed/evacuation_test.go
+++ b/shallotreel/feed/evacuation_test.go
@@ -159,7 +159,7 @@
 	old := start(t, store.Address(), &fakePeers{})
 	waitFor(t, "the peer to be ready", old.ready.Load)
 	address := freeAddress(t)
-	server, err := peerrpc.Serve(address, peerrpc.Service{Name: "Copies", New: func(context.Context) any { return &OldService{old.Feed} }})
+	server, err := peerrpc.Serve(address, []peerrpc.Service{{Name: "Copies", New: func(context.Context) any { return &OldService{old.Feed} }}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/shallotreel/feed/feed_test.go
+++ b/shallotreel/feed/feed_test.go
@@ -59,7 +59,7 @@
 	feed := New(ctx, system, Config{Store: platform.NewStore(store, time.Second), Peers: peers,
 		Incarnation: lastIncarnation.Add(1), Log: log, OnReady: func() {}})
 	address := freeAddress(t)
-	server, err := peerrpc.Serve(address, cataloguesync.NewService(feed))
+	server, err := peerrpc.Serve(address, []peerrpc.Service{cataloguesync.NewService(feed)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -163,7 +163,9 @@
 	front.handler = ingress.New(front.feed, front.router, front.pool, front.crashes, front.path, front.helpers, newRecorder(front.log, front.scope),
 		ingress.WithAdmission(front.admission))
 	relayServer := relay.NewServer(front.handler, front.log)
-	if front.peerServer, err = peerrpc.Serve(config.PeerAddress, cataloguesync.NewService(front.feed), relayServer.Service()); err != nil {
+	front.peerServer, err = peerrpc.Serve(config.PeerAddress, []peerrpc.Service{cataloguesync.NewService(front.feed), relayServer.Service()},
+		peerrpc.WithLog(front.log))
+	if err != nil {
 		return err
 	}
 	front.callerDoor = front.addDoor(callerShare)
--- a/shallotreel/peerrpc/limiter_test.go
+++ b/shallotreel/peerrpc/limiter_test.go
@@ -7,7 +7,9 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"net/rpc"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -23,7 +25,7 @@
 
 func serveEcho(t *testing.T) netip.AddrPort {
 	t.Helper()
-	server, err := Serve(netip.MustParseAddrPort("127.0.0.1:0"), Service{"Echo", func(context.Context) any { return echo{} }})
+	server, err := Serve(netip.MustParseAddrPort("127.0.0.1:0"), []Service{{"Echo", func(context.Context) any { return echo{} }}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,6 +92,44 @@
 	}
 }
 
+// failing is a listener that fails a number of times before it accepts connections.
+type failing struct {
+	net.Listener
+	failures int
+}
+
+func (failing *failing) Accept() (net.Conn, error) {
+	if failing.failures > 0 {
+		failing.failures--
+		return nil, errors.New("too many open files")
+	}
+	return failing.Listener.Accept()
+}
+
+// TestAcceptAgain guards against a server that accepts no more connections after an error.
+func TestAcceptAgain(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := newServer(&failing{listener, 3}, []Service{{"Echo", func(context.Context) any { return echo{} }}})
+	go server.accept()
+	t.Cleanup(server.Close)
+	client, err := Dial(netip.MustParseAddrPort(listener.Addr().String()), serverWriteTimeout, serverWriteTimeout)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	select {
+	case call := <-client.Go("Echo.Call", []byte("x"), new([]byte), make(chan *rpc.Call, 1)).Done:
+		if call.Error != nil {
+			t.Error(call.Error)
+		}
+	case <-time.After(serverWriteTimeout):
+		t.Error("the connection is not accepted")
+	}
+}
+
 // TestLongCall checks that a call with a long argument and reply succeeds.
 func TestLongCall(t *testing.T) {
 	client, err := Dial(serveEcho(t), serverWriteTimeout, serverWriteTimeout)
--- a/shallotreel/peerrpc/peerrpc.go
+++ b/shallotreel/peerrpc/peerrpc.go
@@ -2,16 +2,23 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"net/rpc"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
 )
 
-// serverWriteTimeout is the time within which a peer must take a part of a reply.
-const serverWriteTimeout = 5 * time.Second
+const (
+	// serverWriteTimeout is the time within which a peer must take a part of a reply.
+	serverWriteTimeout = 5 * time.Second
+	// minAcceptBackoff and maxAcceptBackoff bound the time after which a connection is accepted again when that has failed.
+	minAcceptBackoff = 5 * time.Millisecond
+	maxAcceptBackoff = time.Second
+)
 
 // Service is a net/rpc service for peers.
 type Service struct {
@@ -24,16 +31,25 @@
 type Server struct {
 	listener net.Listener
 	services []Service
+	log      logrus.FieldLogger
+}
+
+// Option changes a new Server.
+type Option func(*Server)
+
+// WithLog makes the server log why it cannot accept connections.
+func WithLog(log logrus.FieldLogger) Option {
+	return func(server *Server) { server.log = log }
 }
 
 // Serve starts a server of the services at the address. It returns an error if the address is not available or a service cannot
 // be registered.
-func Serve(address netip.AddrPort, services ...Service) (*Server, error) {
+func Serve(address netip.AddrPort, services []Service, options ...Option) (*Server, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for calls of peers")
 	}
-	server := &Server{listener, services}
+	server := newServer(listener, services, options...)
 	if _, err := server.register(context.Background()); err != nil {
 		listener.Close()
 		return nil, err
@@ -42,6 +58,16 @@
 	return server, nil
 }
 
+func newServer(listener net.Listener, services []Service, options ...Option) *Server {
+	silent := logrus.New()
+	silent.SetOutput(io.Discard)
+	server := &Server{listener: listener, services: services, log: silent}
+	for _, option := range options {
+		option(server)
+	}
+	return server
+}
+
 // register returns an RPC server with the services of one connection.
 func (server *Server) register(ctx context.Context) (*rpc.Server, error) {
 	registered := rpc.NewServer()
@@ -54,11 +80,19 @@
 }
 
 func (server *Server) accept() {
+	backoff := minAcceptBackoff
 	for {
 		conn, err := server.listener.Accept()
-		if err != nil {
-			return // the listener is closed
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			server.log.WithError(err).WithField("backoff", backoff.String()).Error("cannot accept connections of peers")
+			time.Sleep(backoff)
+			backoff = min(2*backoff, maxAcceptBackoff)
+			continue
 		}
+		backoff = minAcceptBackoff
 		go server.serveConn(conn)
 	}
 }
--- a/shallotreel/relay/relay_test.go
+++ b/shallotreel/relay/relay_test.go
@@ -38,7 +38,7 @@
 		}
 		address := netip.MustParseAddrPort(listener.Addr().String())
 		listener.Close()
-		server, err := peerrpc.Serve(address, services...)
+		server, err := peerrpc.Serve(address, services)
 		if err != nil {
 			continue // another process has taken the port
 		}
