Peerrpc: messages and connections of peers count for the memory and the descriptors

Cause: a bound for one message bounds no machine: anybody who connects is a peer, each connection may state 40 MiB, for which encoding/gob allocates, and nothing counted messages or connections. Change: the peer address has a door, an eighth of the descriptors. A message that is not complete counts for the memory by the length that it states; when there is no room, the connection that has got on least recently is closed, or the one that states it. A connection with a handed-over request in progress is not closed for another one.

--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -164,7 +164,7 @@
 		ingress.WithAdmission(front.admission))
 	relayServer := relay.NewServer(front.handler, front.log)
 	front.peerServer, err = peerrpc.Serve(config.PeerAddress, []peerrpc.Service{cataloguesync.NewService(front.feed), relayServer.Service()},
-		peerrpc.WithLog(front.log))
+		peerrpc.WithDoor(front.addDoor(peerShare)), peerrpc.WithLog(front.log))
 	if err != nil {
 		return err
 	}
--- a/shallotreel/front/resources.go
+++ b/shallotreel/front/resources.go
@@ -20,9 +20,10 @@
 
 	// defaultDescriptors is the number of descriptors of a process if neither the settings nor the system limit it.
 	defaultDescriptors = 4096
-	// callerShare and pageShare divide the descriptors: callers and the clients of each other address get one such part. What is left is for
-	// peers, targets, the store and the process itself.
+	// callerShare, peerShare and pageShare divide the descriptors: callers, peers and the clients of each other address get one such part.
+	// What is left is for targets, the store and the process itself.
 	callerShare = 2
+	peerShare   = 8
 	pageShare   = 32
 )
 
--- a/shallotreel/peerrpc/limiter.go
+++ b/shallotreel/peerrpc/limiter.go
@@ -16,6 +16,7 @@
 // value is at the beginning of a stream.
 type messageLimiter struct {
 	left   uint64 // bytes of the message that are still to come
+	size   uint64 // of the message
 	length uint64 // as far as its bytes have come
 	digits int    // bytes of the length that are still to come
 }
@@ -50,6 +51,14 @@
 		messageLimiter.length, messageLimiter.digits = 0, -int(int8(digit))
 	}
 	if messageLimiter.digits == 0 {
-		messageLimiter.left, messageLimiter.length = messageLimiter.length, 0
+		messageLimiter.left, messageLimiter.size, messageLimiter.length = messageLimiter.length, messageLimiter.length, 0
 	}
 }
+
+// pending returns the length of the message that is not complete, or 0 if there is none.
+func (messageLimiter *messageLimiter) pending() int {
+	if messageLimiter.left == 0 {
+		return 0
+	}
+	return int(messageLimiter.size)
+}
--- a/shallotreel/peerrpc/limiter_test.go
+++ b/shallotreel/peerrpc/limiter_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"shallotreel.example/shallotreel/intake"
 )
 
 // echo is a service that returns its argument.
@@ -51,7 +53,7 @@
 			}
 			data = data[size:]
 		}
-		if limiter != (messageLimiter{}) {
+		if limiter.left != 0 || limiter.length != 0 || limiter.digits != 0 {
 			t.Errorf("in reads of up to %d bytes the end is %+v", most, limiter)
 		}
 	}
@@ -92,6 +94,62 @@
 	}
 }
 
+// TestMessagesCount checks that a message that is not complete counts by its stated length, and that it gives way to that of another peer.
+func TestMessagesCount(t *testing.T) {
+	const size = 512 << 10
+	memory := intake.NewMemory(4 << 20)
+	server, err := Serve(netip.MustParseAddrPort("127.0.0.1:0"), []Service{{"Echo", func(context.Context) any { return echo{} }}}, WithDoor(memory.Door(2)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	stalled, err := net.Dial("tcp", server.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stalled.Close()
+	if _, err := stalled.Write([]byte{0xfd, 0x20, 0x00, 0x00, 'x'}); err != nil { // 2 MiB are stated
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(serverWriteTimeout); memory.Held() < 2<<20; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes are counted for a message of 2 MiB", memory.Held())
+		}
+	}
+	client, err := Dial(netip.MustParseAddrPort(server.listener.Addr().String()), serverWriteTimeout, serverWriteTimeout)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	var reply []byte
+	if err := client.Call("Echo.Call", make([]byte, size), &reply); err != nil || len(reply) != size {
+		t.Errorf("%d bytes come back as %d, %v", size, len(reply), err)
+	}
+	if _, err := stalled.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection of the message that does not get on is open")
+	}
+}
+
+// TestKeepOpen checks that a connection with a call in progress is not closed for another one.
+func TestKeepOpen(t *testing.T) {
+	memory := intake.NewMemory(4 << 20)
+	door := memory.Door(1)
+	ended := false
+	hold, _ := door.Enter(func() { ended = true })
+	conn := &peerConn{hold: hold}
+	ctx := context.WithValue(context.Background(), connKey{}, conn)
+	first, second := KeepOpen(ctx), KeepOpen(ctx)
+	first()
+	if _, ok := door.Enter(func() {}); ok || ended {
+		t.Error("a connection was closed while a call is in progress")
+	}
+	second()
+	if _, ok := door.Enter(func() {}); !ok || !ended {
+		t.Error("a connection without a call was not closed for another one")
+	}
+	KeepOpen(context.Background())() // of a service without a connection
+}
+
 // failing is a listener that fails a number of times before it accepts connections.
 type failing struct {
 	net.Listener
--- a/shallotreel/peerrpc/peerrpc.go
+++ b/shallotreel/peerrpc/peerrpc.go
@@ -10,6 +10,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
+
+	"shallotreel.example/shallotreel/intake"
 )
 
 const (
@@ -18,6 +20,9 @@
 	// minAcceptBackoff and maxAcceptBackoff bound the time after which a connection is accepted again when that has failed.
 	minAcceptBackoff = 5 * time.Millisecond
 	maxAcceptBackoff = time.Second
+
+	defaultMemory      = 64 << 20 // bytes, of a server that shares none
+	defaultConnections = 1024
 )
 
 // Service is a net/rpc service for peers.
@@ -31,12 +36,18 @@
 type Server struct {
 	listener net.Listener
 	services []Service
+	door     *intake.Door
 	log      logrus.FieldLogger
 }
 
 // Option changes a new Server.
 type Option func(*Server)
 
+// WithDoor makes the connections of the server and their messages count for the door and its memory.
+func WithDoor(door *intake.Door) Option {
+	return func(server *Server) { server.door = door }
+}
+
 // WithLog makes the server log why it cannot accept connections.
 func WithLog(log logrus.FieldLogger) Option {
 	return func(server *Server) { server.log = log }
@@ -61,7 +72,7 @@
 func newServer(listener net.Listener, services []Service, options ...Option) *Server {
 	silent := logrus.New()
 	silent.SetOutput(io.Discard)
-	server := &Server{listener: listener, services: services, log: silent}
+	server := &Server{listener: listener, services: services, log: silent, door: intake.NewMemory(defaultMemory).Door(defaultConnections)}
 	for _, option := range options {
 		option(server)
 	}
@@ -93,19 +104,25 @@
 			continue
 		}
 		backoff = minAcceptBackoff
-		go server.serveConn(conn)
+		if hold, ok := server.door.Enter(func() { conn.Close() }); ok {
+			go server.serveConn(conn, hold)
+		} else {
+			conn.Close()
+		}
 	}
 }
 
-func (server *Server) serveConn(conn net.Conn) {
+func (server *Server) serveConn(accepted net.Conn, hold *intake.Hold) {
+	defer hold.Release()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	registered, err := server.register(ctx)
+	conn := &peerConn{Conn: accepted, writeTimeout: serverWriteTimeout, cancel: cancel, hold: hold}
+	registered, err := server.register(context.WithValue(ctx, connKey{}, conn))
 	if err != nil {
 		conn.Close() // not reached: the services were registered at the start
 		return
 	}
-	registered.ServeConn(peerConn{conn, serverWriteTimeout, cancel, &messageLimiter{}})
+	registered.ServeConn(conn)
 }
 
 // Close stops accepting connections; open ones continue.
@@ -118,39 +135,5 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to peer")
 	}
-	return rpc.NewClient(peerConn{conn, writeTimeout, func() {}, &messageLimiter{}}), nil
-}
-
-// peerConn is a connection that closes when the peer does not read, or sends a message that is too long. It cancels a context once the
-// peer has disconnected, while calls of the peer may still run.
-type peerConn struct {
-	net.Conn
-	writeTimeout time.Duration
-	cancel       context.CancelFunc
-	limiter      *messageLimiter // of what the peer sends
-}
-
-// Write implements io.Writer.
-func (conn peerConn) Write(data []byte) (int, error) {
-	if err := conn.SetWriteDeadline(time.Now().Add(conn.writeTimeout)); err != nil {
-		return 0, err
-	}
-	size, err := conn.Conn.Write(data)
-	if err != nil {
-		conn.Close() // a part of a message may have been sent
-	}
-	return size, err
-}
-
-// Read implements io.Reader.
-func (conn peerConn) Read(buffer []byte) (int, error) {
-	size, err := conn.Conn.Read(buffer)
-	if tooLong := conn.limiter.check(buffer[:size]); tooLong != nil {
-		size, err = 0, tooLong
-		conn.Close()
-	}
-	if err != nil {
-		conn.cancel()
-	}
-	return size, err
+	return rpc.NewClient(&peerConn{Conn: conn, writeTimeout: writeTimeout, cancel: func() {}}), nil
 }
--- a/shallotreel/relay/server.go
+++ b/shallotreel/relay/server.go
@@ -76,6 +76,7 @@
 // Serve serves a request. The error is always nil.
 func (service *Service) Serve(request Request, reply *Reply) error {
 	server := service.server
+	defer peerrpc.KeepOpen(service.ctx)()
 	defer server.running.Add(-1)
 	if server.running.Add(1) > maxRunning {
 		reply.Refusal = RefusedBusy
