Front: the limits of the configuration hold for callers

What callers saw: a head within max_header_bytes got 431 where a configuration allows more than 64 KiB, and one that takes up to header_timeout_ms was cut where it allows more than ten seconds; connections stayed for two minutes without a byte where the users allow 15 s, and heads for ten seconds where they allow three. Cause: the limits were decoded into catalogue.Limits, of which only that of bodies was used; the front had constants of its own. Change: the callers' door takes the limits of the newest configuration each second, the constants are defaults for a configuration that names none. A head that is too long gets its 431 before the connection ends, as some of the rest is read.

--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -43,17 +43,16 @@
 )
 
 const (
-	sweepPeriod       = time.Second
-	metricsPeriod     = time.Second
-	crashPeriod       = 250 * time.Millisecond // between two searches for targets that ended silently
-	storeDialTimeout  = 500 * time.Millisecond
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeadBytes      = 1 << 20          // that a configuration may allow
-	pageWriteTimeout  = 10 * time.Second // for answers on other addresses than that of callers
-	thousandths       = 1000             // of a core
-	gcPercent         = 50               // GOGC value; uses a third less memory than 150, for a seventh more CPU time
-	addressTTL        = 5 * time.Second  // for which callers keep an address, unless the settings limit it further
+	sweepPeriod      = time.Second
+	metricsPeriod    = time.Second
+	crashPeriod      = 250 * time.Millisecond // between two searches for targets that ended silently
+	storeDialTimeout = 500 * time.Millisecond
+	maxHeadBytes     = 1 << 20          // that a configuration may allow
+	maxIdleTime      = 24 * time.Hour   // of a connection, the same; the door closes it earlier
+	pageTimeout      = 10 * time.Second // for a request or its answer on other addresses than that of callers
+	thousandths      = 1000             // of a core
+	gcPercent        = 50               // GOGC value; uses a third less memory than 150, for a seventh more CPU time
+	addressTTL       = 5 * time.Second  // for which callers keep an address, unless the settings limit it further
 	// healthLinesPerSecond limits the log lines about the health of targets.
 	healthLinesPerSecond = 50
 	maxAddresses         = 64                     // in one answer to an address query
@@ -190,7 +189,7 @@
 
 // servePage starts an HTTP server for others than callers at the address, which read no bodies.
 func (front *Front) servePage(address netip.AddrPort, handler http.Handler) error {
-	_, err := front.serve(address, front.addDoor(pageShare), pageWriteTimeout, withoutBodies(handler))
+	_, err := front.serve(address, front.addDoor(pageShare), pageTimeout, withoutBodies(handler))
 	return err
 }
 
@@ -204,13 +203,13 @@
 	})
 }
 
-// serve starts an HTTP server behind the door at the address. The handler itself limits the time for writing answers if writeTimeout is 0.
-func (front *Front) serve(address netip.AddrPort, door *intake.Door, writeTimeout time.Duration, handler http.Handler) (*http.Server, error) {
+// serve starts an HTTP server behind the door at the address. Without a timeout the handler itself limits the time of a body and an answer.
+func (front *Front) serve(address netip.AddrPort, door *intake.Door, timeout time.Duration, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: door.Handler(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
+	server := &http.Server{Handler: door.Handler(handler), ReadTimeout: timeout, WriteTimeout: timeout, IdleTimeout: maxIdleTime,
 		MaxHeaderBytes: maxHeadBytes, ConnState: door.Follow, ConnContext: door.Context, ErrorLog: log.New(front.log.WriterLevel(logrus.WarnLevel), "", 0)}
 	front.servers = append(front.servers, server)
 	go func() {
@@ -227,6 +226,7 @@
 	ticker := time.NewTicker(sweepPeriod)
 	defer ticker.Stop()
 	meter := workingset.NewMeter(front.self)
+	var sweptAt time.Time
 	crashTicker := time.NewTicker(crashPeriod)
 	defer crashTicker.Stop()
 	pathTicker := time.NewTicker(reachwatch.TickPeriod)
@@ -243,6 +243,7 @@
 			front.pool.Sweep(now)
 			front.router.Sweep(now)
 			front.admission.Sweep(now)
+			front.sweepDoors(time.Now(), &sweptAt)
 			front.announceLoad(now, meter)
 			front.updateGauges()
 		}
--- a/shallotreel/front/resources.go
+++ b/shallotreel/front/resources.go
@@ -4,6 +4,7 @@
 	"math"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"shallotreel.example/shallotreel/intake"
 	"shallotreel.example/shallotreel/settings"
@@ -68,6 +69,23 @@
 	return door
 }
 
+// sweepDoors applies the limits of the configuration and closes the connections that have waited beyond them, unless this process has been
+// paused, so that their bytes may not have been read.
+func (front *Front) sweepDoors(now time.Time, sweptAt *time.Time) {
+	if configuration := front.View().Configuration; configuration != nil {
+		limits := configuration.Limits
+		front.callerDoor.SetLimits(intake.Limits{HeadBytes: limits.HeaderBytes, HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout})
+	}
+	paused := now.Sub(*sweptAt) > 2*sweepPeriod
+	*sweptAt = now
+	if paused {
+		return
+	}
+	for _, door := range front.doors {
+		door.Sweep(now)
+	}
+}
+
 // updateHeldGauges sets the gauges of what is held for others.
 func (front *Front) updateHeldGauges() {
 	connections, refused := 0, uint64(0)
--- a/shallotreel/intake/conn.go
+++ b/shallotreel/intake/conn.go
@@ -11,7 +11,8 @@
 
 // Phases of a connection.
 const (
-	inHead    = int32(iota) // the caller sends a head, or nothing
+	inIdle    = int32(iota) // the caller sends nothing
+	inHead                  // the caller sends a head
 	inBody                  // the caller sends a body
 	inRequest               // a request is in progress
 	inAnswer                // the caller reads an answer
@@ -20,11 +21,15 @@
 const (
 	headSlack         = 4 << 10 // bytes of a head beyond the limit, as net/http allows
 	pieceBytes        = 64 << 10
+	maxDiscardBytes   = 256 << 10
+	maxDiscardTime    = 100 * time.Millisecond
 	headTooLongAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
-// past is a deadline that has passed.
-var past = time.Unix(1, 0)
+var (
+	past  = time.Unix(1, 0) // a deadline that has passed
+	epoch = time.Now()      // with a reading of the steady clock
+)
 
 // Conn is a connection of a caller. The server changes its state only while it does not read.
 type Conn struct {
@@ -33,6 +38,7 @@
 	hold  *Hold
 	head  *Head
 	phase atomic.Int32
+	since atomic.Int64 // time.Duration from epoch to when the connection became idle, or its head began
 }
 
 // ConnOf returns the connection of a request, or nil if it came through no door.
@@ -52,15 +58,18 @@
 
 // Read implements io.Reader.
 func (conn *Conn) Read(buffer []byte) (int, error) {
-	if conn.phase.Load() != inHead {
+	if conn.phase.Load() > inHead {
 		return conn.Conn.Read(buffer)
 	}
-	if int64(conn.head.Bytes()) >= conn.door.maxHead.Load()+headSlack {
+	if conn.head.Bytes() >= conn.door.HeadBytes()+headSlack {
 		conn.door.refused.Add(1)
-		_, _ = io.WriteString(conn.Conn, headTooLongAnswer) // the caller may have gone
+		conn.refuseHead()
 		return 0, closeQuietly(ErrTooLong)
 	}
 	size, err := conn.Conn.Read(buffer)
+	if size > 0 && conn.phase.CompareAndSwap(inIdle, inHead) {
+		conn.restart()
+	}
 	if exhausted := conn.head.Add(buffer[:size]); exhausted != nil {
 		conn.door.refused.Add(1)
 		return 0, closeQuietly(exhausted)
@@ -68,6 +77,33 @@
 	return size, err
 }
 
+// refuseHead answers a head that is too long. It reads some of the rest, since otherwise the end of the connection may overtake the answer.
+// Errors show that the caller has gone.
+func (conn *Conn) refuseHead() {
+	if _, err := io.WriteString(conn.Conn, headTooLongAnswer); err != nil {
+		return
+	}
+	_ = conn.CloseWrite()
+	conn.LimitRead(time.Now().Add(maxDiscardTime))
+	_, _ = io.CopyN(io.Discard, conn.Conn, maxDiscardBytes)
+}
+
+// restart begins the time for which the connection waits.
+func (conn *Conn) restart() { conn.since.Store(int64(time.Since(epoch))) }
+
+// isExpired reports whether the caller has taken too long for a head, or for beginning one.
+func (conn *Conn) isExpired(now time.Time, limits *Limits) bool {
+	waited := now.Sub(epoch) - time.Duration(conn.since.Load())
+	switch conn.phase.Load() {
+	case inIdle:
+		return waited > limits.IdleTimeout
+	case inHead:
+		return waited > limits.HeadTimeout
+	default: // bounded by the deadline of the request
+		return false
+	}
+}
+
 // closeQuietly returns an error of Read after which the server closes the connection without an answer.
 func closeQuietly(err error) error { return &net.OpError{Op: "read", Net: "tcp", Err: err} }
 
--- a/shallotreel/intake/door.go
+++ b/shallotreel/intake/door.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"cmp"
 	"container/list"
 	"context"
 	"net"
@@ -9,8 +10,13 @@
 	"time"
 )
 
-// connectionBytes is the memory of a connection: its goroutine and buffers, and the first bytes of a head.
-const connectionBytes = 12 << 10
+const (
+	// connectionBytes is the memory of a connection: its goroutine and buffers, and the first bytes of a head.
+	connectionBytes = 12 << 10
+
+	defaultHeadTimeout = 10 * time.Second
+	defaultIdleTimeout = 2 * time.Minute
+)
 
 // Door bounds the connections at one address, by their number and by the memory of the process. When there is no room for a new one,
 // it closes the one that has waited longest for its caller; while there is none, it closes the new one unread, so that its caller may
@@ -19,7 +25,7 @@
 	memory  *Memory
 	most    int
 	refused atomic.Uint64
-	maxHead atomic.Int64
+	limits  atomic.Pointer[Limits]
 
 	// The mutex of the memory guards what follows.
 	open    int
@@ -29,7 +35,7 @@
 // Door returns a door for so many connections.
 func (memory *Memory) Door(most int) *Door {
 	door := &Door{memory: memory, most: most}
-	door.maxHead.Store(MaxHeadBytes)
+	door.SetLimits(Limits{})
 	return door
 }
 
@@ -95,18 +101,27 @@
 		if err != nil {
 			return nil, err
 		}
-		conn := &Conn{Conn: accepted, door: listener.door}
-		hold, ok := listener.door.Enter(conn.end)
-		if !ok {
-			accepted.Close()
-			continue
+		if conn, ok := listener.door.letIn(accepted); ok {
+			return conn, nil
 		}
-		conn.hold, conn.head = hold, NewHead(hold, Message)
-		conn.phase.Store(inHead)
-		return conn, nil
+		accepted.Close()
 	}
 }
 
+// letIn returns a connection of a caller, or false if there is no room.
+func (door *Door) letIn(accepted net.Conn) (*Conn, bool) {
+	conn := &Conn{Conn: accepted, door: door}
+	conn.restart()
+	hold, ok := door.Enter(conn.end)
+	if !ok {
+		return nil, false
+	}
+	door.memory.mutex.Lock()
+	defer door.memory.mutex.Unlock()
+	conn.hold, conn.head, hold.conn = hold, NewHead(hold, Message), conn
+	return conn, true
+}
+
 // Follow is the server's ConnState function.
 func (door *Door) Follow(accepted net.Conn, state http.ConnState) {
 	conn, ok := accepted.(*Conn)
@@ -120,7 +135,8 @@
 	case http.StateIdle:
 		conn.head.Reset()
 		_ = conn.SetWriteDeadline(time.Time{}) // fails only if the connection has ended
-		conn.phase.Store(inHead)
+		conn.restart()
+		conn.phase.Store(inIdle)
 		conn.hold.Wait()
 	case http.StateClosed, http.StateHijacked:
 		conn.hold.Release()
@@ -145,10 +161,36 @@
 	})
 }
 
-// SetMaxHead sets the limit of heads in bytes, 0 for MaxHeadBytes.
-func (door *Door) SetMaxHead(size int) {
-	if size <= 0 {
-		size = MaxHeadBytes
+// Limits bound what a caller may send, and how long it may take or stay idle. Zero values stand for defaults.
+type Limits struct {
+	HeadBytes   int
+	HeadTimeout time.Duration // from the first byte of a head to its last one
+	IdleTimeout time.Duration // without a byte
+}
+
+// SetLimits sets the limits of the connections.
+func (door *Door) SetLimits(limits Limits) {
+	door.limits.Store(&Limits{cmp.Or(max(limits.HeadBytes, 0), MaxHeadBytes), cmp.Or(max(limits.HeadTimeout, 0), defaultHeadTimeout),
+		cmp.Or(max(limits.IdleTimeout, 0), defaultIdleTimeout)})
+}
+
+// HeadBytes returns the limit of heads in bytes.
+func (door *Door) HeadBytes() int { return door.limits.Load().HeadBytes }
+
+// Sweep closes the connections that have waited beyond the limits, whose requests have not begun.
+func (door *Door) Sweep(now time.Time) {
+	limits := door.limits.Load()
+	memory := door.memory
+	memory.mutex.Lock()
+	var expired []*Hold
+	for element := door.waiting.Front(); element != nil; element = element.Next() {
+		if hold := element.Value.(*Hold); hold.conn != nil && hold.conn.isExpired(now, limits) {
+			expired = append(expired, hold)
+		}
 	}
-	door.maxHead.Store(int64(size))
+	for _, hold := range expired {
+		memory.close(hold)
+	}
+	memory.mutex.Unlock()
+	endAll(expired)
 }
--- a/shallotreel/intake/door_test.go
+++ b/shallotreel/intake/door_test.go
@@ -180,7 +180,7 @@
 	t.Run("too long", func(t *testing.T) {
 		memory := NewMemory(1 << 20)
 		door, address := serve(t, memory, 1, func() { t.Error("the request is served") })
-		door.SetMaxHead(16 << 10)
+		door.SetLimits(Limits{HeadBytes: 16 << 10})
 		conn := dial(t, address, "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("y", 16<<10+headSlack))
 		if status, _, err := answer(bufio.NewReader(conn)); err != nil || status != http.StatusRequestHeaderFieldsTooLarge {
 			t.Errorf("status %d, %v, want 431", status, err)
@@ -219,3 +219,41 @@
 		t.Errorf("%d are open, %d were refused, %d ended; want 2, 1 and 1", door.Open(), door.Refused(), memory.Ended())
 	}
 }
+
+// TestSweep checks which connections are closed because of the time that they have waited.
+func TestSweep(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	limits := Limits{HeadTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	memory := NewMemory(1 << 20)
+	called, proceed := make(chan bool, 9), make(chan bool, 9)
+	door, address := serve(t, memory, 9, func() { called <- true; <-proceed })
+	door.SetLimits(limits)
+	used := dial(t, address, request)
+	<-called
+	proceed <- true
+	if _, _, err := answer(bufio.NewReader(used)); err != nil {
+		t.Fatal(err)
+	}
+	busy := dial(t, address, request)
+	<-called
+	silent, begun := dial(t, address, ""), dial(t, address, request[:9])
+	time.Sleep(50 * time.Millisecond) // the head has begun
+	for _, step := range []struct {
+		after time.Duration
+		open  int
+	}{{0, 4}, {limits.HeadTimeout, 3}, {limits.IdleTimeout, 1}, {time.Hour, 1}} {
+		door.Sweep(time.Now().Add(step.after))
+		if door.Open() != step.open {
+			t.Errorf("%d connections are open after %v, want %d", door.Open(), step.after, step.open)
+		}
+	}
+	for _, conn := range []net.Conn{silent, begun, used} {
+		if size, err := conn.Read(make([]byte, 1)); err == nil {
+			t.Errorf("%d bytes on a connection that has waited too long, want its end", size)
+		}
+	}
+	proceed <- true
+	if status, _, err := answer(bufio.NewReader(busy)); err != nil || status != http.StatusOK {
+		t.Errorf("status %d, %v, want 200", status, err)
+	}
+}
--- a/shallotreel/intake/memory.go
+++ b/shallotreel/intake/memory.go
@@ -58,6 +58,7 @@
 type Hold struct {
 	memory *Memory
 	door   *Door // that counts the connection, nil for a request
+	conn   *Conn // nil for a request, and for a connection without HTTP
 	end    func()
 
 	// The mutex of the memory guards what follows.
