Crowd: instances of the tests listen below the ports of outgoing connections

TestCrowds/heads_without_end and whole_bodies_to_many_shards were red once each with 'the instance is not ready' after 20 s. Traced to the harness: a port that was free when it was chosen came from the range that the system gives to outgoing connections, of which the crowds open thousands, so that the instance found it taken. Ports are now chosen from 10,000 to 29,999, all five before one is given back, and a failed start shows the log.

--- a/shallotreel/crowd/instance_test.go
+++ b/shallotreel/crowd/instance_test.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -109,10 +110,9 @@
 	instance := &instance{t: t, ended: make(chan error, 1), config: settings.Front{Name: "one", DataCentre: "a", StoreAddress: store.Address(),
 		Grace: document.Duration(5 * time.Second), MaxAddressTTL: document.Duration(time.Second), LogLevel: "info",
 		MemoryMB: memoryMB, MaxDescriptors: descriptors, Extra: settings.Extra{Ratio: 0.2, Window: document.Duration(10 * time.Second), Slack: 58}}}
-	for _, address := range []*netip.AddrPort{&instance.config.CallerAddress, &instance.config.ReadyAddress, &instance.config.ResolveAddress,
-		&instance.config.PeerAddress, &instance.config.MetricsAddress} {
-		*address = freeAddress(t)
-	}
+	addresses := freeAddresses(t, 5)
+	instance.config.CallerAddress, instance.config.ReadyAddress, instance.config.ResolveAddress = addresses[0], addresses[1], addresses[2]
+	instance.config.PeerAddress, instance.config.MetricsAddress = addresses[3], addresses[4]
 	instance.start()
 	return instance
 }
@@ -149,15 +149,24 @@
 	_, _ = writer.Write(bytes.Repeat([]byte("x"), size))
 }
 
-// freeAddress returns a local address with an unused port.
-func freeAddress(t *testing.T) netip.AddrPort {
+// freeAddresses returns so many local addresses with unused ports, below those that the system gives to outgoing connections, of which
+// the crowds open thousands.
+func freeAddresses(t *testing.T, count int) []netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	var addresses []netip.AddrPort
+	for range 1000 {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(10_000+rand.IntN(20_000)))
+		listener, err := net.Listen("tcp", address.String())
+		if err != nil {
+			continue
+		}
+		defer listener.Close() // once all are chosen, so that they differ
+		if addresses = append(addresses, address); len(addresses) == count {
+			return addresses
+		}
 	}
-	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	t.Fatal("no unused ports")
+	return nil
 }
 
 // start starts the process and waits until it is ready.
@@ -188,7 +197,8 @@
 	instance.t.Cleanup(func() { _ = instance.process.Kill() }) // fails only if it has ended
 	for deadline := time.Now().Add(waitTime); !instance.isReady(); time.Sleep(sampleTime) {
 		if time.Now().After(deadline) {
-			instance.t.Fatal("the instance is not ready")
+			text, err := os.ReadFile(instance.log)
+			instance.t.Fatalf("the instance is not ready: %s, %v", text, err)
 		}
 	}
 	go instance.sample()
