Intake: a head for which there is no memory ends its connection, without 400

Cause: when a head could not be kept, the connection's Read returned an error that the server answers with silence, and dropped what it had read. net/textproto looks ahead and passes over an error of that, and takes the beginning of a line for a whole, malformed one. So either the server answered 400 on an open connection, or it went on reading, without the bytes that were dropped, and waited for an end that had been in them. The reader of targets' heads had the same: a response could have been read without a part of its head. Change: such an error is that of all further reads, and the callers' connection is closed at once.

--- a/shallotreel/connpool/bounds.go
+++ b/shallotreel/connpool/bounds.go
@@ -17,6 +17,7 @@
 	conn   net.Conn
 	head   *intake.Head
 	inBody bool
+	failed error // of all reads after one whose bytes may not be kept: readers of heads look ahead, and pass over an error of that
 }
 
 // Read implements io.Reader. Its error is intake.ErrTooLong or intake.ErrExhausted for a head that takes too much.
@@ -24,12 +25,16 @@
 	if headLimiter.inBody {
 		return headLimiter.conn.Read(buffer)
 	}
+	if headLimiter.failed != nil {
+		return 0, headLimiter.failed
+	}
 	left := intake.MaxHeadBytes - headLimiter.head.Bytes()
 	if left <= 0 || headLimiter.head.HasAllLines() {
 		return 0, intake.ErrTooLong
 	}
 	size, err := headLimiter.conn.Read(buffer[:min(len(buffer), left)])
 	if exhausted := headLimiter.head.Add(buffer[:size]); exhausted != nil {
+		headLimiter.failed = exhausted
 		return 0, exhausted
 	}
 	return size, err
--- a/shallotreel/connpool/endless_test.go
+++ b/shallotreel/connpool/endless_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"runtime"
 	"strings"
 	"sync"
@@ -200,6 +201,26 @@
 	}
 }
 
+// TestHeadWithoutMemory guards against a head of a response of which a part is dropped for want of memory, and the rest is read.
+func TestHeadWithoutMemory(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	go func() {
+		_, _ = far.Write(make([]byte, 64<<10)) // is not read to its end
+		far.Close()
+	}()
+	pool := NewPool(WithMemory(intake.NewMemory(8 << 10)))
+	limiter := newConnection(pool, netip.AddrPort{}, near).limiter
+	var err error
+	for buffer := make([]byte, 1<<10); err == nil; {
+		_, err = limiter.Read(buffer)
+	}
+	limiter.head.Reset()
+	if _, again := limiter.Read(make([]byte, 1)); !errors.Is(err, intake.ErrExhausted) || !errors.Is(again, intake.ErrExhausted) {
+		t.Errorf("the error is %v, and then %v", err, again)
+	}
+}
+
 // TestBytesBeforeRequest guards against bytes that stay counted after a connection that only shows whether its target accepts it.
 func TestBytesBeforeRequest(t *testing.T) {
 	pool := NewPool()
--- a/shallotreel/crowd/crowd_test.go
+++ b/shallotreel/crowd/crowd_test.go
@@ -158,7 +158,13 @@
 	conns := make([]net.Conn, crowd.clients)
 	address := crowd.address(instance.config).String()
 	for i := range conns {
-		clients.Go(func() { conns[i] = crowd.send(address) })
+		clients.Go(func() {
+			conn, status := crowd.send(address)
+			if strings.HasPrefix(status, "4") && status != "408" && status != "429" {
+				instance.t.Errorf("a client within the limits gets %s", status)
+			}
+			conns[i] = conn
+		})
 	}
 	clients.Wait()
 	time.Sleep(settleTime)
@@ -173,17 +179,21 @@
 	}
 }
 
-// send sends the message of one client, and returns its connection, or nil if the instance takes none.
-func (crowd crowd) send(address string) net.Conn {
+// send sends the message of one client, and returns its connection, or nil if the instance takes none, and the status of an answer that it
+// waits for.
+func (crowd crowd) send(address string) (conn net.Conn, status string) {
 	conn, err := net.DialTimeout("tcp", address, sendTime)
 	if err != nil {
-		return nil
+		return nil, ""
 	}
 	_ = conn.SetDeadline(time.Now().Add(sendTime)) // shows as an error of what follows
 	_, _ = conn.Write(crowd.message)               // the instance may refuse it before its end
 	if crowd.leave {
-		_, _ = io.ReadFull(conn, make([]byte, 1)) // the beginning of an answer, or the end of the connection
+		answer := make([]byte, len("HTTP/1.1 200"))
+		if _, err := io.ReadFull(conn, answer); err == nil { // otherwise the connection has ended
+			status = string(answer[len("HTTP/1.1 "):])
+		}
 		conn.Close()
 	}
-	return conn
+	return conn, status
 }
--- a/shallotreel/intake/conn.go
+++ b/shallotreel/intake/conn.go
@@ -34,11 +34,12 @@
 // Conn is a connection of a caller. The server changes its state only while it does not read.
 type Conn struct {
 	net.Conn
-	door  *Door
-	hold  *Hold
-	head  *Head
-	phase atomic.Int32
-	since atomic.Int64 // time.Duration from epoch to when the connection became idle, or its head began
+	door    *Door
+	hold    *Hold
+	head    *Head
+	phase   atomic.Int32
+	refused error        // of all reads after one whose bytes may not be kept
+	since   atomic.Int64 // time.Duration from epoch to when the connection became idle, or its head began
 }
 
 // ConnOf returns the connection of a request, or nil if it came through no door.
@@ -61,25 +62,26 @@
 	if conn.phase.Load() > inHead {
 		return conn.Conn.Read(buffer)
 	}
+	if conn.refused != nil {
+		return 0, conn.refused
+	}
 	if conn.head.Bytes() >= conn.door.HeadBytes()+headSlack {
-		conn.door.refused.Add(1)
-		conn.refuseHead()
-		return 0, closeQuietly(ErrTooLong)
+		conn.answerTooLong()
+		return 0, conn.refuseHead(ErrTooLong)
 	}
 	size, err := conn.Conn.Read(buffer)
 	if size > 0 && conn.phase.CompareAndSwap(inIdle, inHead) {
 		conn.restart()
 	}
 	if exhausted := conn.head.Add(buffer[:size]); exhausted != nil {
-		conn.door.refused.Add(1)
-		return 0, closeQuietly(exhausted)
+		return 0, conn.refuseHead(exhausted)
 	}
 	return size, err
 }
 
-// refuseHead answers a head that is too long. It reads some of the rest, since otherwise the end of the connection may overtake the answer.
+// answerTooLong answers a head that is too long. It reads some of the rest, since otherwise the end of the connection may overtake the answer.
 // Errors show that the caller has gone.
-func (conn *Conn) refuseHead() {
+func (conn *Conn) answerTooLong() {
 	if _, err := io.WriteString(conn.Conn, headTooLongAnswer); err != nil {
 		return
 	}
@@ -104,8 +106,14 @@
 	}
 }
 
-// closeQuietly returns an error of Read after which the server closes the connection without an answer.
-func closeQuietly(err error) error { return &net.OpError{Op: "read", Net: "tcp", Err: err} }
+// refuseHead ends the connection because of the error, which it returns for all further reads. The reader of heads looks ahead, passes over an
+// error of that, and takes what it has of a line for a malformed one, which the server must not answer.
+func (conn *Conn) refuseHead(err error) error {
+	conn.door.refused.Add(1)
+	conn.refused = err
+	conn.Close()
+	return err
+}
 
 // CloseWrite ends the direction to the caller, by which the server lets it read an answer that comes before the end of its request.
 func (conn *Conn) CloseWrite() error {
--- a/shallotreel/intake/door_test.go
+++ b/shallotreel/intake/door_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const waitLimit = 5 * time.Second
@@ -189,6 +191,42 @@
 	})
 }
 
+// TestHeadWithoutMemory guards against a head of which a part is dropped for want of memory and the rest is read: it must not be taken for another one,
+// and its caller must not wait. The memory is used up and free again after each number of lines.
+func TestHeadWithoutMemory(t *testing.T) {
+	const line = "Name: value of a header line of some length, so that the head is long enough to count\r\n"
+	for lines := 1; lines < 60; lines++ {
+		memory := NewMemory(32 << 10)
+		door := memory.Door(1)
+		near, far := net.Pipe()
+		conn, ok := door.letIn(near)
+		if !ok {
+			t.Fatal("no room")
+		}
+		conn.hold.Busy()
+		go func() {
+			_, _ = io.WriteString(far, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat(line, lines)) // is not read to its end
+			far.Close()
+		}()
+		other, err := memory.Open(Work, 12<<10)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reader := bufio.NewReaderSize(conn, 1<<10)
+		for range 100 { // a reader that passes over errors
+			if _, err = reader.Peek(1); errors.Is(err, ErrExhausted) {
+				break
+			}
+			_, _ = reader.Discard(reader.Buffered())
+		}
+		other.Release()
+		if _, again := conn.Read(make([]byte, 1)); errors.Is(err, ErrExhausted) && !errors.Is(again, ErrExhausted) {
+			t.Errorf("after %d lines the error is %v, and then %v", lines, err, again)
+		}
+		near.Close()
+	}
+}
+
 // TestDoor checks that a new connection takes the place of the one that has waited longest, and that a request in progress keeps its own.
 func TestDoor(t *testing.T) {
 	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
