Peerrpc: calls in progress are bounded

What callers saw: 50 connections to the peer address that send 20,000 calls each and read no reply took 408,360 to 484,244 KiB of an instance with 96 MB (crowd, a new form; red before the change). Cause: net/rpc starts a goroutine for each call as soon as it is read. A call of the catalogue waits half a second, and replies wait for each other and for a peer that doesn't read, up to five seconds; meanwhile any number of further calls is read. Change: the server's codec reads no further call of a connection with eight or more in progress while 1,024 are in progress on all together, twice what an instance serves for others at once. Other connections are read as ever, and nothing is refused. Ruled out: counting calls for the memory as messages, and ending connections for others (tried: 249,556 KiB): a call goes on for half a second after its connection has ended, so that what was given back was not free. Evidence: the same crowd takes 63,048 KiB. peerrpc TestCalls.

--- a/shallotreel/crowd/crowd_test.go
+++ b/shallotreel/crowd/crowd_test.go
@@ -2,17 +2,20 @@
 
 import (
 	"bytes"
+	"encoding/gob"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"net/rpc"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"shallotreel.example/shallotreel/cataloguesync"
 	"shallotreel.example/shallotreel/settings"
 )
 
@@ -76,6 +79,18 @@
 	return append([]byte{0xfc, 0x02, 0x80, 0x00, 0x00}, make([]byte, sent)...)
 }
 
+// callAsPeer returns so many calls of a peer, each of which waits for a change of the catalogue.
+func callAsPeer(calls int) []byte {
+	var message bytes.Buffer
+	encoder := gob.NewEncoder(&message)
+	for call := range calls {
+		// Writes to a buffer do not fail.
+		_ = encoder.Encode(rpc.Request{ServiceMethod: "Copies.Since", Seq: uint64(call)})
+		_ = encoder.Encode(cataloguesync.Query{Hold: time.Minute})
+	}
+	return message.Bytes()
+}
+
 // TestCrowds guards against clients that take the memory or the descriptors of an instance, so that it ends or serves nobody else.
 func TestCrowds(t *testing.T) {
 	for _, crowd := range []crowd{
@@ -91,6 +106,7 @@
 		{"heads without end", 1500, false, callers, []byte("GET / HTTP/1.1\r\nHost: h\r\n" + shortLines(2000))},
 		{"answers that are not read", 100, false, callers, []byte("GET " + longPath + " HTTP/1.1\r\nHost: h\r\nRequest-Id: crowd\r\nDeadline-Ms: 6000\r\n\r\n")},
 		{"messages of peers without end", 100, false, peers, beginPeerMessage(4 << 20)},
+		{"calls of peers that read no reply", 50, false, peers, callAsPeer(20_000)},
 		{"bodies to the resolve address", 300, false, resolvers, post("/-/resolve", wholeBody, 1)},
 		{"bodies to the metrics address", 300, false, metrics, post("/metrics", wholeBody, 1)},
 	} {
--- a/shallotreel/peerrpc/peerrpc.go
+++ b/shallotreel/peerrpc/peerrpc.go
@@ -38,6 +38,7 @@
 	services []Service
 	door     *intake.Door
 	log      logrus.FieldLogger
+	calls    *calls
 }
 
 // Option changes a new Server.
@@ -72,7 +73,7 @@
 func newServer(listener net.Listener, services []Service, options ...Option) *Server {
 	silent := logrus.New()
 	silent.SetOutput(io.Discard)
-	server := &Server{listener: listener, services: services, log: silent, door: intake.NewMemory(defaultMemory).Door(defaultConnections)}
+	server := &Server{listener: listener, services: services, log: silent, calls: newCalls(), door: intake.NewMemory(defaultMemory).Door(defaultConnections)}
 	for _, option := range options {
 		option(server)
 	}
@@ -122,7 +123,7 @@
 		conn.Close() // not reached: the services were registered at the start
 		return
 	}
-	registered.ServeConn(conn)
+	registered.ServeCodec(newServerCodec(conn, server.calls))
 }
 
 // Close stops accepting connections; open ones continue.
