Intake: the system holds little of a connection that nobody reads

Cause: the receive buffer of a connection grows with what is read of it, up to some megabytes (the system's limit here is 33 MB). Change: callers' connections ask for 32 KiB. A body of 256 KiB, the users' limit, then takes some eight round trips. Peers' connections stay as they are, since whole catalogues go over them.

--- a/shallotreel/intake/door.go
+++ b/shallotreel/intake/door.go
@@ -13,6 +13,8 @@
 const (
 	// connectionBytes is the memory of a connection: its goroutine and buffers, and the first bytes of a head.
 	connectionBytes = 12 << 10
+	// receiveBufferBytes is what the system is asked to keep of a connection at most while nobody reads. It keeps about three times as much.
+	receiveBufferBytes = 32 << 10
 
 	defaultHeadTimeout = 10 * time.Second
 	defaultIdleTimeout = 2 * time.Minute
@@ -110,6 +112,9 @@
 
 // letIn returns a connection of a caller, or false if there is no room.
 func (door *Door) letIn(accepted net.Conn) (*Conn, bool) {
+	if connection, ok := accepted.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = connection.SetReadBuffer(receiveBufferBytes) // fails only if the connection has ended
+	}
 	conn := &Conn{Conn: accepted, door: door}
 	conn.restart()
 	hold, ok := door.Enter(conn.end)
--- a/shallotreel/intake/door_test.go
+++ b/shallotreel/intake/door_test.go
@@ -27,7 +27,7 @@
 	server := &http.Server{ConnState: door.Follow, ConnContext: door.Context,
 		Handler: door.Handler(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 			called()
-			size, err := io.Copy(io.Discard, request.Body)
+			size, err := io.CopyBuffer(struct{ io.Writer }{io.Discard}, struct{ io.Reader }{request.Body}, make([]byte, maxChunkBytes))
 			fmt.Fprint(writer, size, err)
 		}))}
 	go func() { _ = server.Serve(door.Listener(listener)) }() // ends with the listener
@@ -295,3 +295,41 @@
 		t.Errorf("status %d, %v, want 200", status, err)
 	}
 }
+
+// TestUnreadBytes guards against the memory that the system holds of a connection whose caller goes on sending while its request is in progress,
+// after a long body for which the system has made room.
+func TestUnreadBytes(t *testing.T) {
+	const body, most = 8 << 20, 256 << 10
+	called := make(chan bool)
+	proceed := make(chan bool)
+	_, address := serve(t, NewMemory(64<<20), 1, func() {
+		called <- true
+		<-proceed
+	})
+	conn := dial(t, address, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", body))
+	<-called
+	proceed <- true
+	request := append(make([]byte, body), "GET / HTTP/1.1\r\nHost: h\r\n\r\n"...)
+	if _, err := conn.Write(request); err != nil {
+		t.Fatal(err)
+	}
+	<-called
+	if err := conn.(*net.TCPConn).SetWriteBuffer(4 << 10); err != nil { // so that it holds little itself
+		t.Fatal(err)
+	}
+	if err := conn.SetWriteDeadline(time.Now().Add(500 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	unread := 0
+	for block := make([]byte, 1<<10); ; {
+		size, err := conn.Write(block)
+		unread += size
+		if err != nil {
+			break
+		}
+	}
+	if unread > most {
+		t.Errorf("%d bytes are taken that nobody reads, want %d at most", unread, most)
+	}
+	proceed <- true
+}
