--- a/shallotreel/front/address.go
+++ b/shallotreel/front/address.go
@@ -14,9 +14,12 @@
 	"shallotreel.example/reel/workingset"
 )
 
-// minLocalAddresses is the number of addresses in the caller's data centre from which
-// addresses in other data centres are left out.
-const minLocalAddresses = 2
+const (
+	// minLocalAddresses is the number of addresses in the caller's data centre from which
+	// addresses in other data centres are left out.
+	minLocalAddresses = 2
+	maxAddresses      = 64 // in one answer to an address query
+)
 
 // serveReady answers the platform's readiness checks.
 func (front *Front) serveReady(writer http.ResponseWriter, request *http.Request) {
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -5,10 +5,8 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"io"
-	"log"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -23,7 +21,6 @@
 
 	"shallotreel.example/platform"
 	"shallotreel.example/reel/catalogue"
-	"shallotreel.example/reel/choice"
 	"shallotreel.example/reel/member"
 	"shallotreel.example/reel/quarantine"
 	"shallotreel.example/reel/reach"
@@ -47,18 +44,9 @@
 	metricsPeriod    = time.Second
 	crashPeriod      = 250 * time.Millisecond // between two searches for targets that ended silently
 	storeDialTimeout = 500 * time.Millisecond
-	maxHeadBytes     = 1 << 20          // that a configuration may allow
-	maxIdleTime      = 24 * time.Hour   // of a connection, the same; the door closes it earlier
-	pageTimeout      = 10 * time.Second // for a request or its answer on other addresses than that of callers
-	thousandths      = 1000             // of a core
-	gcPercent        = 50               // GOGC value; uses a third less memory than 150, for a seventh more CPU time
-	addressTTL       = 5 * time.Second  // for which callers keep an address, unless the settings limit it further
-	// healthLinesPerSecond limits the log lines about the health of targets.
-	healthLinesPerSecond = 50
-	maxAddresses         = 64                     // in one answer to an address query
-	staleTTLFactor       = 3                      // callers may keep using an address for this multiple of addressTTL
-	relayedPollPeriod    = 20 * time.Millisecond  // between two checks whether requests of other instances have ended
-	closeMargin          = 500 * time.Millisecond // at the end of the grace period, reserved for closing the components
+	thousandths      = 1000            // of a core
+	addressTTL       = 5 * time.Second // for which callers keep an address, unless the settings limit it further
+	staleTTLFactor   = 3               // callers may keep using an address for this multiple of addressTTL
 )
 
 // Front is a running instance. Use Start to create one.
@@ -187,39 +175,6 @@
 	return nil
 }
 
-// servePage starts an HTTP server for others than callers at the address, which read no bodies.
-func (front *Front) servePage(address netip.AddrPort, handler http.Handler) error {
-	_, err := front.serve(address, front.addDoor(pageShare), pageTimeout, withoutBodies(handler))
-	return err
-}
-
-// withoutBodies returns a handler that closes the connection of a request with a body, for which the server would wait before it answers.
-func withoutBodies(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if request.ContentLength != 0 {
-			writer.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(writer, request)
-	})
-}
-
-// serve starts an HTTP server behind the door at the address. Without a timeout the handler itself limits the time of a body and an answer.
-func (front *Front) serve(address netip.AddrPort, door *intake.Door, timeout time.Duration, handler http.Handler) (*http.Server, error) {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return nil, err
-	}
-	server := &http.Server{Handler: door.Handler(handler), ReadTimeout: timeout, WriteTimeout: timeout, IdleTimeout: maxIdleTime,
-		MaxHeaderBytes: maxHeadBytes, ConnState: door.Follow, ConnContext: door.Context, ErrorLog: log.New(front.log.WriterLevel(logrus.WarnLevel), "", 0)}
-	front.servers = append(front.servers, server)
-	go func() {
-		if err := server.Serve(door.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
-			front.log.WithError(err).WithField("address", address.String()).Error("listener failed")
-		}
-	}()
-	return server, nil
-}
-
 // maintain periodically sweeps the connection pool and the router and updates the
 // gauges until the context ends.
 func (front *Front) maintain() {
@@ -253,30 +208,6 @@
 // View returns the current view of the catalogue, by which requests are routed.
 func (front *Front) View() *catalogue.View { return front.feed.View() }
 
-func (front *Front) logHealthChange(change choice.HealthChange) {
-	fields := logrus.Fields{"subject": change.Subject, "belief": change.Kind, "factor": change.LatencyFactor,
-		"failures": change.FailureRate, "silence_ms": change.LongestWait.Milliseconds(), "in_vain": change.UnservedShare,
-		"targets_serial": front.feed.View().Serial}
-	if change.Service != "" {
-		fields["service"] = change.Service
-	}
-	switch change.Kind {
-	case choice.Limited:
-		front.scope.Counter("limits_named").Inc(1)
-		fields["limit_per_second"], fields["part_per_second"], fields["members"] = float64(change.Limit), change.Part, change.Members
-	case choice.LimitEnded:
-		front.scope.Counter("limits_ended").Inc(1)
-		fields["limit_per_second"] = float64(change.Limit)
-	case choice.Cold, choice.Warm:
-		addColdFields(fields, change)
-	}
-	if !front.healthLines.Allow(time.Now()) {
-		front.scope.Counter("health_lines_dropped").Inc(1)
-		return
-	}
-	front.log.WithFields(fields).Info("health changed")
-}
-
 // pathChanged is called when the path to the targets is lost or back.
 func (front *Front) pathChanged(change reach.Change) {
 	lost := 0.0
@@ -327,20 +258,6 @@
 	front.log.WithField("version", front.feed.View().Configuration.Version).Info("ready")
 }
 
-// updateGauges sets the gauges to the current values.
-func (front *Front) updateGauges() {
-	open, dials := front.pool.Counts()
-	front.scope.Gauge("target_connections").Update(float64(open))
-	front.scope.Gauge("target_dials").Update(float64(dials))
-	front.scope.Gauge("extra_responses").Update(float64(front.pool.ExtraResponses()))
-	front.updateHeldGauges()
-	front.scope.Gauge("store_calls").Update(float64(front.feed.StoreCalls()))
-	front.scope.Gauge("members").Update(float64(len(front.roster.Members())))
-	front.scope.Gauge("evacuations").Update(float64(len(front.View().Evacuations())))
-	front.scope.Gauge("running").Update(float64(front.handler.Running()))
-	front.updateColdGauges(time.Now())
-}
-
 // Reload applies the changed settings that can change while the process runs: seeds,
 // limits on extra attempts, and durations. It logs the names of other changed fields,
 // which take effect only in a new process.
@@ -355,59 +272,3 @@
 	front.log.WithFields(logrus.Fields{"seeds": changed.Seeds, "extra": changed.Extra, "grace": changed.Grace.Std().String(),
 		"keep_most": changed.MaxAddressTTL.Std().String()}).Info("settings reloaded")
 }
-
-// Stop shuts the instance down gracefully within the grace period of the settings. It
-// announces to the peers that this instance is leaving, keeps serving while callers may
-// still use its address, unless a request would likely have no answer by the end, waits for running requests and closes. The reason is
-// logged.
-func (front *Front) Stop(reason string) {
-	front.log.WithField("reason", reason).Info("stopping")
-	begun := time.Now()
-	front.stopping.Store(true)
-	front.handler.DisableKeepAlives()
-	front.roster.Leave()
-	grace := front.settings.Load().Grace.Std()
-	end := begun.Add(grace - closeMargin)
-	front.handler.StopBy(end)
-	serving := min(staleTTLFactor*addressTTL, grace/2)
-	time.Sleep(serving)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	if err := front.callerServer.Shutdown(ctx); err != nil {
-		front.log.WithError(err).WithField("running", front.handler.Running()).Warn("requests were still running at the end of the grace period")
-	}
-	front.handler.StopRelaying()
-	front.awaitRelayed(ctx)
-	front.close()
-	front.log.Info("stopped")
-}
-
-// awaitRelayed waits until no request of another instance is running, or until the context ends.
-func (front *Front) awaitRelayed(ctx context.Context) {
-	ticker := time.NewTicker(relayedPollPeriod)
-	defer ticker.Stop()
-	for front.handler.Running() > 0 {
-		select {
-		case <-ctx.Done():
-			front.log.WithField("running", front.handler.Running()).Warn("requests of other instances were still running at the end of the grace period")
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// close ends all components at once, without waiting for running requests.
-func (front *Front) close() {
-	front.cancel()
-	for _, server := range front.servers {
-		server.Close()
-	}
-	if front.peerServer != nil {
-		front.peerServer.Close()
-	}
-	if front.roster != nil {
-		front.roster.Close()
-	}
-	front.system.Shutdown()
-	front.closer.Close()
-}
--- a/shallotreel/front/resources.go
+++ b/shallotreel/front/resources.go
@@ -11,6 +11,7 @@
 )
 
 const (
+	gcPercent       = 50  // GOGC value; uses a third less memory than 150, for a seventh more CPU time
 	defaultMemoryMB = 256 // of a process whose limit is unknown
 	bytesPerMB      = 1 << 20
 	// heldShare divides the memory of the process; one such part may be held for others. The rest is for the process itself, for garbage that is
@@ -85,16 +86,3 @@
 		door.Sweep(now)
 	}
 }
-
-// updateHeldGauges sets the gauges of what is held for others.
-func (front *Front) updateHeldGauges() {
-	connections, refused := 0, uint64(0)
-	for _, door := range front.doors {
-		connections += door.Open()
-		refused += door.Refused()
-	}
-	front.scope.Gauge("held_bytes").Update(float64(front.memory.Held()))
-	front.scope.Gauge("held_connections").Update(float64(connections))
-	front.scope.Gauge("connections_refused").Update(float64(refused))
-	front.scope.Gauge("connections_ended").Update(float64(front.memory.Ended()))
-}
