--- a/shallotreel/ingress/caller.go
+++ b/shallotreel/ingress/caller.go
@@ -14,7 +14,7 @@
 	// refusalGrace is the same after the start of a request without a deadline.
 	refusalGrace = 5 * time.Second
 	// unusedBodyWait is how long the server reads the rest of a body that is not used, before it answers.
-	unusedBodyWait = 50 * time.Millisecond
+	unusedBodyWait = 250 * time.Millisecond
 )
 
 // caller is who waits for the answer to a request.
