Connpool: connections to targets are bounded, and descriptors divided between all who take them

What callers saw: 1,500 short requests to five shards opened so many connections to targets that 3,899 of 4,096 descriptors were taken (crowd, a new form, red before the change, 3,584 allowed). With no descriptor left, a connection to a target fails, which counted against that target. Cause: only connections that come in were bounded, by half of the descriptors; those to targets were as many as attempts in progress. Change: the pool has a limit. At the limit a call closes the connection that has been idle for longest; while all are in use, it ends unsent with an error that says nothing of the target, so that the request is refused truthfully. Of 64 parts of the descriptors, targets have 28, callers 16 (half before), peers 4 (eight before), each other address one (two before): what is left is an eighth, with the process's own. 4,100 descriptors, the users' least, are 1,793 connections to targets and 1,025 of callers.

--- a/shallotreel/connpool/bounds.go
+++ b/shallotreel/connpool/bounds.go
@@ -59,3 +59,8 @@
 func WithMemory(memory *intake.Memory) Option {
 	return func(pool *Pool) { pool.memory = memory }
 }
+
+// WithMaxConnections makes the pool have so many connections to targets at most.
+func WithMaxConnections(most int) Option {
+	return func(pool *Pool) { pool.most = most }
+}
--- a/shallotreel/connpool/call.go
+++ b/shallotreel/connpool/call.go
@@ -60,6 +60,9 @@
 // ErrConnectionLimit is the error of a call to a target that accepts no more connections.
 var ErrConnectionLimit = errors.New("the target accepts no more connections")
 
+// ErrTooManyConnections is the error of a call for which the pool may open no further connection, so that nothing was sent.
+var ErrTooManyConnections = errors.New("this process may open no more connections to targets")
+
 // ErrTooLate is the error of a call whose connection was opened too late, so that nothing was sent.
 var ErrTooLate = errors.New("the connection was opened too late")
 
--- a/shallotreel/connpool/idle.go
+++ b/shallotreel/connpool/idle.go
@@ -79,6 +79,44 @@
 	}
 }
 
+// reserve takes a place for a connection that is to be opened. If there is none, it closes the connection that has been idle for longest, and
+// reports false if all are in use.
+func (pool *Pool) reserve() bool {
+	pool.mutex.Lock()
+	var closed *connection
+	ok := pool.open+pool.dialing < pool.most
+	if !ok {
+		closed = pool.longestIdle()
+		ok = closed != nil && pool.remove(closed)
+	}
+	if ok {
+		pool.dialing++
+	}
+	pool.mutex.Unlock()
+	if closed != nil {
+		closed.conn.Close()
+	}
+	return ok
+}
+
+// endReservation gives the place back when the connection is counted as open, or was not opened.
+func (pool *Pool) endReservation() {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.dialing--
+}
+
+// longestIdle returns the connection that has been idle for longest, or nil if none is idle. The caller holds the mutex.
+func (pool *Pool) longestIdle() *connection {
+	var longest *connection
+	for _, idle := range pool.idle {
+		if first := idle[0]; longest == nil || first.idleAt.Before(longest.idleAt) {
+			longest = first
+		}
+	}
+	return longest
+}
+
 // closeIfIdle closes the connection unless a call has taken it in the meantime.
 func (pool *Pool) closeIfIdle(connection *connection) {
 	pool.mutex.Lock()
--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -26,7 +27,9 @@
 	probes   map[netip.AddrPort]time.Time     // last probe by address
 	backoffs map[netip.AddrPort]*dialBackoff  // targets that reset a connection and have not answered on a new one since
 	memory   *intake.Memory                   // of responses
+	most     int                              // limit of the open connections and of those that are being opened for calls
 	open     int                              // open connections
+	dialing  int                              // connections that are being opened for calls
 	dials    uint64                           // connections ever opened
 	extras   atomic.Uint64                    // see ExtraResponses
 	connect  Dial
@@ -55,7 +58,7 @@
 // NewPool returns a pool without connections.
 func NewPool(options ...Option) *Pool {
 	pool := &Pool{idle: map[netip.AddrPort][]*connection{}, backoffs: map[netip.AddrPort]*dialBackoff{}, probes: map[netip.AddrPort]time.Time{},
-		memory:  intake.NewMemory(defaultMemory),
+		memory: intake.NewMemory(defaultMemory), most: math.MaxInt,
 		connect: new(net.Dialer).DialContext, excluded: func(netip.AddrPort) bool { return false }, acceptanceWait: acceptanceWait}
 	for _, option := range options {
 		option(pool)
@@ -69,6 +72,10 @@
 		connection.write(call)
 		return
 	}
+	if !pool.reserve() {
+		call.finish(Result{Err: ErrTooManyConnections})
+		return
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	call.cancel = cancel
 	go pool.dial(ctx, call)
@@ -119,36 +126,45 @@
 
 // dial opens a connection, sends the request and reads responses until the connection closes.
 func (pool *Pool) dial(ctx context.Context, call *Call) {
+	if connection := pool.openFor(ctx, call); connection != nil {
+		connection.write(call)
+		connection.readResponses()
+	}
+}
+
+// openFor opens a connection for the call, for which a place is reserved. It returns nil if the call has ended.
+func (pool *Pool) openFor(ctx context.Context, call *Call) *connection {
+	defer pool.endReservation()
 	if pool.excluded(call.Address) {
 		call.finish(Result{Err: ErrExcluded})
-		return
+		return nil
 	}
 	conn, err := pool.connectTo(ctx, call.Address, dialTimeout)
 	if errors.Is(err, syscall.ECONNRESET) {
 		pool.recordReset(call.Address)
 		call.finish(Result{Err: ErrConnectionLimit})
-		return
+		return nil
 	}
 	if err != nil {
 		call.finish(Result{Listens: listensAfter(err), Err: errors.Wrap(err, "connect")})
-		return
+		return nil
 	}
 	connection := newConnection(pool, call.Address, conn)
 	if pool.recentlyReset(call.Address) && !connection.confirmAccepted() {
 		conn.Close()
 		pool.recordReset(call.Address)
 		call.finish(Result{Err: ErrConnectionLimit})
-		return
+		return nil
 	}
 	if !call.refresh() {
 		conn.Close()
 		call.finish(Result{Err: ErrTooLate})
-		return
+		return nil
 	}
 	if pool.excluded(call.Address) { // since the dial began
 		conn.Close()
 		call.finish(Result{Err: ErrExcluded})
-		return
+		return nil
 	}
 	pool.mutex.Lock()
 	assigned := pool.assign(call, connection)
@@ -160,10 +176,9 @@
 	pool.mutex.Unlock()
 	if !assigned {
 		conn.Close()
-		return
+		return nil
 	}
-	connection.write(call)
-	connection.readResponses()
+	return connection
 }
 
 // callOrRetire returns the call in flight on the connection. Without one it returns nil, and no call can take the
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -91,7 +91,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	front := &Front{log: logger, ctx: ctx, cancel: cancel, healthLines: linelimit.New(healthLinesPerSecond),
 		resources: available, memory: intake.NewMemory(available.memory / heldShare)}
-	front.pool = connpool.NewPool(connpool.WithMemory(front.memory),
+	front.pool = connpool.NewPool(connpool.WithMemory(front.memory), connpool.WithMaxConnections(available.share(targetParts)),
 		connpool.WithExclusion(func(address netip.AddrPort) bool { return front.View().IsEvacuatedAddress(address) }))
 	front.settings.Store(&config)
 	front.openMetrics()
@@ -151,11 +151,11 @@
 		ingress.WithAdmission(front.admission))
 	relayServer := relay.NewServer(front.handler, front.log)
 	front.peerServer, err = peerrpc.Serve(config.PeerAddress, []peerrpc.Service{cataloguesync.NewService(front.feed), relayServer.Service()},
-		peerrpc.WithDoor(front.addDoor(peerShare)), peerrpc.WithLog(front.log))
+		peerrpc.WithDoor(front.addDoor(peerParts)), peerrpc.WithLog(front.log))
 	if err != nil {
 		return err
 	}
-	front.callerDoor = front.addDoor(callerShare)
+	front.callerDoor = front.addDoor(callerParts)
 	front.callerServer, err = front.serve(config.CallerAddress, front.callerDoor, 0, front.handler)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
--- a/shallotreel/front/listen.go
+++ b/shallotreel/front/listen.go
@@ -22,7 +22,7 @@
 
 // servePage starts an HTTP server for others than callers at the address, which read no bodies.
 func (front *Front) servePage(address netip.AddrPort, handler http.Handler) error {
-	_, err := front.serve(address, front.addDoor(pageShare), pageTimeout, withoutBodies(handler))
+	_, err := front.serve(address, front.addDoor(pageParts), pageTimeout, withoutBodies(handler))
 	return err
 }
 
--- a/shallotreel/front/resources.go
+++ b/shallotreel/front/resources.go
@@ -22,11 +22,13 @@
 
 	// defaultDescriptors is the number of descriptors of a process if neither the settings nor the system limit it.
 	defaultDescriptors = 4096
-	// callerShare, peerShare and pageShare divide the descriptors: callers, peers and the clients of each other address get one such part.
-	// What is left is for targets, the store and the process itself.
-	callerShare = 2
-	peerShare   = 8
-	pageShare   = 32
+	// targetParts, callerParts, peerParts and pageParts are the shares of the descriptors, in 64ths, of connections to targets, of callers, of
+	// peers and of the clients of each other address. What is left is for the store and the process itself.
+	targetParts     = 28
+	callerParts     = 16
+	peerParts       = 4
+	pageParts       = 1
+	descriptorParts = 64
 )
 
 // resources are what the process may use.
@@ -63,9 +65,14 @@
 	debug.SetMemoryLimit(resources.memory / 100 * heapPercent)
 }
 
-// addDoor returns the door of another address, which lets in as many connections as one of so many shares of the descriptors.
-func (front *Front) addDoor(shares int) *intake.Door {
-	door := front.memory.Door(front.resources.descriptors / shares)
+// share returns so many parts of the descriptors.
+func (resources resources) share(parts int) int {
+	return resources.descriptors * parts / descriptorParts
+}
+
+// addDoor returns the door of another address, which lets in as many connections as so many parts of the descriptors.
+func (front *Front) addDoor(parts int) *intake.Door {
+	door := front.memory.Door(front.resources.share(parts))
 	front.doors = append(front.doors, door)
 	return door
 }
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -251,7 +251,7 @@
 			return answer, choice.Report{}, choice.Abandoned
 		case connpool.ErrTooLate:
 			return answer, choice.Report{}, choice.Abandoned
-		case connpool.ErrExcluded:
+		case connpool.ErrExcluded, connpool.ErrTooManyConnections:
 			return answer, choice.Report{}, choice.Inconclusive
 		case connpool.ErrConnectionLimit:
 			return answer, choice.Report{}, choice.ConnectionsExhausted
