Reachwatch: a shortage of this process is no evidence against targets or the path

What callers saw: nothing yet; found while reading the diff. While an instance has no memory for answers or no connection left for targets, its calls fail. Each failure counted as one of the target: against the path, which is lost as soon as probes fail too (they need connections as well), so that requests are handed over for nothing, and as a broken connection, which may be evidence of a crash. Cause: reachwatch and the watch for crashes took every error they don't know as the target's. Change: Result.IsOwnShortage, one rule for the selection of targets, the path and crashes: such a call says nothing, and one whose answer was arriving is a sign of life. Evidence: reachwatch TestOwnShortage, red in both forms with the reachwatch of before.

--- a/shallotreel/connpool/call.go
+++ b/shallotreel/connpool/call.go
@@ -47,6 +47,11 @@
 	Connection uint64
 }
 
+// IsOwnShortage reports whether the call failed because this process has no memory or connection for it, which says nothing of the target.
+func (result Result) IsOwnShortage() bool {
+	return errors.Is(result.Err, ErrTooManyConnections) || errors.Is(result.Err, intake.ErrExhausted)
+}
+
 // Listens says whether a target accepts connections.
 type Listens int
 
--- a/shallotreel/ingress/crash.go
+++ b/shallotreel/ingress/crash.go
@@ -18,7 +18,7 @@
 	case answer.Execution == query.Ran:
 		run.answered.Store(true)
 		crashes.Ran(now, send.AttemptID)
-	case answer.Execution == query.NotRun || ended.Response != nil || ended.Listens == connpool.Accepted:
+	case answer.Execution == query.NotRun || ended.IsOwnShortage() || ended.Response != nil || ended.Listens == connpool.Accepted:
 		crashes.NotRun(send.AttemptID)
 	case ended.Err == connpool.ErrCanceled:
 		crashes.Abandoned(now, send.AttemptID, run.answered.Load())
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"shallotreel.example/platform"
 	"shallotreel.example/reel/catalogue"
 	"shallotreel.example/reel/choice"
@@ -246,15 +244,15 @@
 		if ended.Sent {
 			answer.Execution = query.MayHaveRun
 		}
-		if errors.Is(ended.Err, intake.ErrExhausted) {
-			return answer, choice.Report{}, choice.Inconclusive // says nothing of the target
+		if ended.IsOwnShortage() {
+			return answer, choice.Report{}, choice.Inconclusive
 		}
 		switch ended.Err {
 		case connpool.ErrCanceled:
 			return answer, choice.Report{}, choice.Abandoned
 		case connpool.ErrTooLate:
 			return answer, choice.Report{}, choice.Abandoned
-		case connpool.ErrExcluded, connpool.ErrTooManyConnections:
+		case connpool.ErrExcluded:
 			return answer, choice.Report{}, choice.Inconclusive
 		case connpool.ErrConnectionLimit:
 			return answer, choice.Report{}, choice.ConnectionsExhausted
--- a/shallotreel/reachwatch/reachwatch.go
+++ b/shallotreel/reachwatch/reachwatch.go
@@ -101,6 +101,11 @@
 		watch.monitor.Answered(now, id, target)
 	case ended.Err == connpool.ErrCanceled || ended.Err == connpool.ErrExcluded:
 		watch.monitor.Abandoned(now, id, target)
+	case ended.IsOwnShortage():
+		watch.monitor.Abandoned(now, id, target)
+		if ended.Sent { // the target was answering
+			watch.monitor.Accepted(now)
+		}
 	case ended.Err == connpool.ErrTooLate:
 		watch.monitor.Abandoned(now, id, target)
 		watch.monitor.Accepted(now)
--- a/shallotreel/reachwatch/reachwatch_test.go
+++ b/shallotreel/reachwatch/reachwatch_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
@@ -17,6 +18,7 @@
 	"shallotreel.example/reel/reach"
 	"shallotreel.example/reel/storepos"
 	"shallotreel.example/shallotreel/connpool"
+	"shallotreel.example/shallotreel/intake"
 )
 
 // prober is a Prober whose targets accept connections unless the path is cut.
@@ -99,6 +101,29 @@
 	})
 }
 
+// TestOwnShortage guards against calls that fail for want of memory or connections in this process, and pass for a lost path. Probes fail too, so that
+// the path is lost as soon as it is in doubt.
+func TestOwnShortage(t *testing.T) {
+	for name, ended := range map[string]connpool.Result{
+		"no connection": {Err: connpool.ErrTooManyConnections},
+		"no memory":     {Sent: true, Err: errors.Wrap(intake.ErrExhausted, "read response body")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 4, func(t *testing.T, watch *Watch, prober *prober) {
+				prober.cut.Store(true)
+				for target := range 4 {
+					watch.Sent(time.Now(), uint64(target), 80*time.Millisecond)
+					watch.Ended(time.Now(), uint64(target), address(target), ended)
+				}
+				time.Sleep(time.Second)
+				if watch.IsLost() {
+					t.Error("the path is lost")
+				}
+			})
+		})
+	}
+}
+
 func TestVerify(t *testing.T) {
 	run(t, 4, func(t *testing.T, watch *Watch, prober *prober) {
 		failedAt := time.Now()
