--- a/shallotreel/crowd/crowd_test.go
+++ b/shallotreel/crowd/crowd_test.go
@@ -112,7 +112,7 @@
 		{"bodies to the resolve address", 300, false, resolvers, post("/-/resolve", wholeBody, 1)},
 		{"bodies to the metrics address", 300, false, metrics, post("/metrics", wholeBody, 1)},
 	} {
-		t.Run(crowd.name, func(t *testing.T) { crowd.visit(startInstance(t, manyDescriptor)) })
+		t.Run(crowd.name, func(t *testing.T) { crowd.visit(startInstance(t, manyDescriptors)) })
 	}
 }
 
@@ -129,7 +129,7 @@
 
 // TestHeadOfManyLines guards against a limit on lines that a single request meets although its head is as short as any may be.
 func TestHeadOfManyLines(t *testing.T) {
-	instance := startInstance(t, manyDescriptor)
+	instance := startInstance(t, manyDescriptors)
 	for _, lines := range []int{headLines, 1500, 2600, 4000} {
 		status, _, err := instance.request(ordinaryTime, strings.Repeat("a:\r\n", lines/2)+shortLines(lines/4))
 		if status != http.StatusOK || err != nil {
@@ -141,7 +141,7 @@
 
 // TestStopBesideCrowd checks that an instance stops although clients keep their bodies open.
 func TestStopBesideCrowd(t *testing.T) {
-	instance := startInstance(t, manyDescriptor)
+	instance := startInstance(t, manyDescriptors)
 	crowd := crowd{"open bodies", 300, false, callers, post(slowPath, wholeBody, 1)}
 	defer closeAll(crowd.come(instance))
 	if err := instance.process.Signal(syscall.SIGTERM); err != nil {
--- a/shallotreel/crowd/instance_test.go
+++ b/shallotreel/crowd/instance_test.go
@@ -30,18 +30,18 @@
 )
 
 const (
-	memoryMB       = 96   // of an instance, little for one
-	manyDescriptor = 4096 // of an instance
-	// spareShare divides the descriptors of an instance; one such part stays free whatever clients do.
+	memoryMB        = 96   // of an instance, little for one
+	manyDescriptors = 4096 // of an instance
+	// spareShare divides the descriptors of an instance, of which one such part must stay free.
 	spareShare = 8
 
-	shards       = 5
-	slowTime     = 2 * time.Second // which a target takes for a request below slowPath
-	ordinaryTime = 10 * time.Second
-	ordinaryTrys = 5 // of one caller, who comes back when the instance says
-	sampleTime   = 10 * time.Millisecond
-	waitTime     = 20 * time.Second // for what must happen eventually
-	longAnswer   = 4 << 20          // bytes
+	shards        = 5
+	slowTime      = 2 * time.Second // which a target takes for a request below slowPath
+	ordinaryTime  = 10 * time.Second
+	ordinaryTries = 5 // of one caller, who comes back when the instance says
+	sampleTime    = 10 * time.Millisecond
+	waitTime      = 20 * time.Second // for what must happen eventually
+	longAnswer    = 4 << 20          // bytes
 )
 
 // Paths of the configuration, below which targets act as the last word says.
@@ -95,14 +95,14 @@
 		t.Skip("runs with -alone")
 	}
 	store := storetest.Start(t)
-	services := []storetest.Service{{Name: "desk", Connections: manyDescriptor}}
+	services := []storetest.Service{{Name: "desk", Connections: manyDescriptors}}
 	routes := []storetest.Route{
 		{Name: "one", Host: "h", Prefix: "/one/", Type: "idempotent", Timeout: 10_000, Goal: 500, Attempts: 2, Service: "desk"},
 		{Name: "all", Host: "h", Prefix: "/all/", Type: "idempotent", Timeout: 10_000, Goal: 500, Attempts: 2, Top: 3, LeastShare: 0.6}}
 	startTargets(t, store, "desk")
 	for shard := range shards {
 		name := fmt.Sprintf("shard-%d", shard)
-		services = append(services, storetest.Service{Name: name, Connections: manyDescriptor})
+		services = append(services, storetest.Service{Name: name, Connections: manyDescriptors})
 		routes[1].Shards = append(routes[1].Shards, name)
 		startTargets(t, store, name)
 	}
@@ -267,7 +267,7 @@
 	instance.t.Helper()
 	deadline := time.Now().Add(ordinaryTime)
 	var outcomes []string
-	for range ordinaryTrys {
+	for range ordinaryTries {
 		status, retryAfter, err := instance.request(time.Until(deadline), "")
 		if status == http.StatusOK {
 			return
--- a/shallotreel/front/lost_path_test.go
+++ b/shallotreel/front/lost_path_test.go
@@ -137,11 +137,14 @@
 	for number := range requests {
 		group.Go(func() {
 			id := fmt.Sprintf("%s-%s-%d-%d", instance.Name, method, time.Now().UnixNano(), number)
-			if fleet.call(client, instance.CallerAddress, method, prefix+id, id) == http.StatusOK {
-				mutex.Lock()
-				served++
-				mutex.Unlock()
+			status := fleet.call(client, instance.CallerAddress, method, prefix+id, id)
+			if status != http.StatusOK {
+				fleet.t.Logf("request %s gets status %d", id, status)
+				return
 			}
+			mutex.Lock()
+			served++
+			mutex.Unlock()
 		})
 		time.Sleep(lostPathPeriod)
 	}
