Connpool: attempts refused for want of connections are counted; a test of single requests at the limits

What operators saw: no counter told that all connections to targets were in use; only the cause in the log of attempts did, which is sampled.

--- a/shallotreel/connpool/bounds.go
+++ b/shallotreel/connpool/bounds.go
@@ -60,6 +60,9 @@
 	return func(pool *Pool) { pool.memory = memory }
 }
 
+// Refused returns how many calls ended with ErrTooManyConnections.
+func (pool *Pool) Refused() uint64 { return pool.refused.Load() }
+
 // WithMaxConnections makes the pool have so many connections to targets at most.
 func WithMaxConnections(most int) Option {
 	return func(pool *Pool) { pool.most = most }
--- a/shallotreel/connpool/idle.go
+++ b/shallotreel/connpool/idle.go
@@ -91,6 +91,8 @@
 	}
 	if ok {
 		pool.dialing++
+	} else {
+		pool.refused.Add(1)
 	}
 	pool.mutex.Unlock()
 	if closed != nil {
--- a/shallotreel/connpool/limit_test.go
+++ b/shallotreel/connpool/limit_test.go
@@ -29,6 +29,9 @@
 	if result := await(t, results); !errors.Is(result.Err, ErrTooManyConnections) || result.Sent {
 		t.Errorf("the result is %+v, want %v, unsent", result, ErrTooManyConnections)
 	}
+	if pool.Refused() != 1 {
+		t.Errorf("%d calls are counted as refused, want 1", pool.Refused())
+	}
 	for range running {
 		proceed <- true
 	}
--- a/shallotreel/connpool/pool.go
+++ b/shallotreel/connpool/pool.go
@@ -30,6 +30,7 @@
 	most     int                              // limit of the open connections and of those that are being opened for calls
 	open     int                              // open connections
 	dialing  int                              // connections that are being opened for calls
+	refused  atomic.Uint64                    // see Refused
 	dials    uint64                           // connections ever opened
 	extras   atomic.Uint64                    // see ExtraResponses
 	connect  Dial
--- a/shallotreel/crowd/crowd_test.go
+++ b/shallotreel/crowd/crowd_test.go
@@ -1,6 +1,7 @@
 package crowd
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/gob"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"net/rpc"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -139,6 +141,34 @@
 	instance.assertBounded()
 }
 
+// TestLegalRequests checks that single requests at the limits are served, at once and in pieces: a head in the shortest lines, and a body.
+func TestLegalRequests(t *testing.T) {
+	const headLimit, pieceBytes = 16 << 10, 1000
+	instance := startInstance(t, manyDescriptors)
+	head := strings.TrimSuffix(string(get(ordinaryPath, 0, 0)), "\r\n")
+	head += strings.Repeat("a:\r\n", (headLimit-len(head)-2)/4) + "\r\n"
+	for name, message := range map[string][]byte{"a head": []byte(head), "a body": post(ordinaryPath, wholeBody, 0)} {
+		for _, piece := range []int{len(message), pieceBytes} {
+			conn, err := net.Dial("tcp", instance.config.CallerAddress.String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = conn.SetDeadline(time.Now().Add(sendTime)) // shows as an error of what follows
+			for part := range slices.Chunk(message, piece) {
+				if _, err := conn.Write(part); err != nil {
+					t.Errorf("%s in pieces of %d bytes: %v", name, piece, err)
+					break
+				}
+			}
+			if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || response.StatusCode != http.StatusOK {
+				t.Errorf("%s in pieces of %d bytes gets %+v, %v", name, piece, response, err)
+			}
+			conn.Close()
+		}
+	}
+	instance.assertBounded()
+}
+
 // TestStopBesideCrowd checks that an instance stops although clients keep their bodies open.
 func TestStopBesideCrowd(t *testing.T) {
 	instance := startInstance(t, manyDescriptors)
--- a/shallotreel/front/gauges.go
+++ b/shallotreel/front/gauges.go
@@ -7,6 +7,7 @@
 	open, dials := front.pool.Counts()
 	front.scope.Gauge("target_connections").Update(float64(open))
 	front.scope.Gauge("target_dials").Update(float64(dials))
+	front.scope.Gauge("target_connections_refused").Update(float64(front.pool.Refused()))
 	front.scope.Gauge("extra_responses").Update(float64(front.pool.ExtraResponses()))
 	front.updateHeldGauges()
 	front.scope.Gauge("store_calls").Update(float64(front.feed.StoreCalls()))
