Reachwatch: changes of the path are announced in their order, each loss with its own channel

Callers of the ended process get no answer. By reading, members may hear that the path is lost after they heard that it is back, and hand nothing over to the instance until the next change.

Cause: a loss was announced outside the lock, then watch.lost was closed, read without the lock. An announcement that takes long (busy machine) is overtaken by the return of the path, which puts the channel of the next loss in its place; that one was closed, and closed again by the next loss.

Change: changes are noted under the lock, each loss with its own channel, and announced one after the other. Who found a change still returns only once it is announced.

Why it works: the channel of a loss is taken under the lock in which the loss becomes true, and only its announcement closes it, so each is closed once. Announcements leave the queue one at a time, in the order in which they entered it.

--- a/shallotreel/reachwatch/reachwatch.go
+++ b/shallotreel/reachwatch/reachwatch.go
@@ -44,16 +44,27 @@
 	mutex     sync.Mutex
 	monitor   *reach.Monitor
 	lost      chan struct{} // closed when the path is lost; a new one while it is there
+	// announcements are those of changes that are not announced yet, the oldest first.
+	announcements []announcement
+	// announcing holds a value while changes are announced, so that others hear of them in their order.
+	announcing chan struct{}
 	// confirming holds a value while failed attempts have targets probed, so that one probe answers all who wait.
 	confirming chan struct{}
 }
 
 type counters struct{ lost, found, probes tally.Counter }
 
+// announcement is what others are told of one change.
+type announcement struct {
+	change       reach.Change
+	probesFailed int
+	lost         chan struct{} // closed once the loss is announced, nil if the path is back
+}
+
 // New returns a Watch that believes that targets can be reached and calls onChange when that changes.
 func New(targets Catalogue, prober Prober, onChange func(reach.Change), log logrus.FieldLogger, scope tally.Scope) *Watch {
 	return &Watch{catalogue: targets, prober: prober, log: log, onChange: onChange, monitor: reach.New(time.Now()),
-		lost: make(chan struct{}), confirming: make(chan struct{}, 1),
+		lost: make(chan struct{}), announcing: make(chan struct{}, 1), confirming: make(chan struct{}, 1),
 		counters: counters{scope.Counter("path_lost"), scope.Counter("path_found"), scope.Counter("path_probes")}}
 }
 
@@ -132,8 +143,11 @@
 	accepted, failed := watch.connect(watch.randomTargets(round.Targets, round.Count))
 	watch.mutex.Lock()
 	change, changed := watch.monitor.Verified(time.Now(), began, accepted, failed)
+	watch.noteChange(change, changed, failed)
 	watch.mutex.Unlock()
-	watch.announce(change, changed, failed)
+	if changed {
+		watch.announce()
+	}
 	return watch.IsLost()
 }
 
@@ -212,22 +226,49 @@
 	accepted, failed := watch.connect(watch.randomTargets(round.Targets, round.Count))
 	watch.mutex.Lock()
 	change, changed := watch.monitor.RoundEnded(time.Now(), accepted, failed)
-	if changed && !change.Lost {
-		watch.lost = make(chan struct{})
-	}
+	watch.noteChange(change, changed, failed)
 	watch.mutex.Unlock()
-	watch.announce(change, changed, failed)
+	if changed {
+		watch.announce()
+	}
 }
 
-// announce reports the change, if there is one, and ends the waiting for a lost path.
-func (watch *Watch) announce(change reach.Change, changed bool, probesFailed int) {
+// noteChange adds the change, if there is one, to those that are to be announced. The lock is held.
+func (watch *Watch) noteChange(change reach.Change, changed bool, probesFailed int) {
 	if !changed {
 		return
 	}
-	watch.report(change, probesFailed)
+	announcement := announcement{change: change, probesFailed: probesFailed}
 	if change.Lost {
-		close(watch.lost) // after onChange, by which the silence of targets is no evidence of crashes any more
+		announcement.lost = watch.lost
+	} else {
+		watch.lost = make(chan struct{})
+	}
+	watch.announcements = append(watch.announcements, announcement)
+}
+
+// announce reports all changes that are not reported yet, and ends the waiting for a lost path. Those of the caller are
+// reported when it returns.
+func (watch *Watch) announce() {
+	watch.announcing <- struct{}{}
+	defer func() { <-watch.announcing }()
+	for announcement, ok := watch.nextAnnouncement(); ok; announcement, ok = watch.nextAnnouncement() {
+		watch.report(announcement.change, announcement.probesFailed)
+		if announcement.lost != nil {
+			close(announcement.lost) // after onChange, by which the silence of targets is no evidence of crashes any more
+		}
+	}
+}
+
+func (watch *Watch) nextAnnouncement() (announcement, bool) {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	if len(watch.announcements) == 0 {
+		return announcement{}, false
 	}
+	next := watch.announcements[0]
+	watch.announcements = watch.announcements[1:]
+	return next, true
 }
 
 // connect connects to the targets and returns how many accepted the connection and how many did not. Those that are evacuated
--- a/shallotreel/reachwatch/reachwatch_test.go
+++ b/shallotreel/reachwatch/reachwatch_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -45,6 +47,12 @@
 
 // run runs the function with a watch of the given number of targets, in virtual time.
 func run(t *testing.T, targets int, test func(t *testing.T, watch *Watch, prober *prober)) {
+	t.Helper()
+	runObserved(t, targets, func(reach.Change) {}, test)
+}
+
+// runObserved is like run; onChange is called when the path is lost or back.
+func runObserved(t *testing.T, targets int, onChange func(reach.Change), test func(t *testing.T, watch *Watch, prober *prober)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		view := catalogue.New()
@@ -58,7 +66,7 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		prober := &prober{}
-		watch := New(fixed{view.View()}, prober, func(reach.Change) {}, log, tally.NoopScope)
+		watch := New(fixed{view.View()}, prober, onChange, log, tally.NoopScope)
 		done := make(chan struct{})
 		go func() {
 			for {
@@ -90,10 +98,8 @@
 		}
 		prober.cut.Store(false)
 		time.Sleep(time.Second)
-		select {
-		case <-watch.Lost():
+		if isClosed(watch.Lost()) {
 			t.Error("the channel of the lost path is still closed")
-		default:
 		}
 		if watch.IsLost() {
 			t.Error("the path is still lost")
@@ -101,6 +107,65 @@
 	})
 }
 
+// TestSlowAnnouncements guards against a loss whose announcement takes so long that the path is back, and perhaps lost again, before it ends. Others
+// would hear of the changes in another order, and the channel of the next loss would be closed in place of the own one.
+func TestSlowAnnouncements(t *testing.T) {
+	const losses = 3
+	var (
+		mutex   sync.Mutex
+		changes []bool
+	)
+	slow := func(change reach.Change) {
+		if change.Lost {
+			time.Sleep(2 * time.Second)
+		}
+		mutex.Lock()
+		defer mutex.Unlock()
+		changes = append(changes, change.Lost)
+	}
+	runObserved(t, 4, slow, func(t *testing.T, watch *Watch, prober *prober) {
+		var ended []<-chan struct{}
+		for loss := range losses {
+			prober.cut.Store(true)
+			ended = append(ended, watch.Lost())
+			watch.Sent(time.Now(), uint64(loss), 80*time.Millisecond)
+			waitFor(watch.IsLost)
+			prober.cut.Store(false)
+			waitFor(func() bool { return !watch.IsLost() })
+		}
+		next := watch.Lost()
+		time.Sleep(time.Minute)
+		for loss, channel := range ended {
+			if !isClosed(channel) {
+				t.Errorf("those who wait for loss %d are not told", loss+1)
+			}
+		}
+		if isClosed(next) {
+			t.Error("a loss is told that has not come")
+		}
+		mutex.Lock()
+		defer mutex.Unlock()
+		if want := slices.Repeat([]bool{true, false}, losses); !slices.Equal(changes, want) {
+			t.Errorf("the path is announced as lost: %v, want %v", changes, want)
+		}
+	})
+}
+
+func waitFor(condition func() bool) {
+	for !condition() {
+		time.Sleep(TickPeriod)
+	}
+}
+
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
 // TestOwnShortage guards against calls that fail for want of memory or connections in this process, and pass for a lost path. Probes fail too, so that
 // the path is lost as soon as it is in doubt.
 func TestOwnShortage(t *testing.T) {
