Crashwatch: a quarantined request is tried again, spaced and few

What was believed of the content lasted by its own effect.

Instances that reach targets take turns in the order of rendezvous hashing by fingerprint, each 3 s after the one before it, so that nobody has to agree, and one that is cut off or never gets such a request is followed by the next. A trial is told to all when its first attempt is sent; its ids merge like losses. Of a gathered request one shard is asked first. Success clears the mark as that of a suspect does. Retry-After says when the next trial is due. A refusal still keeps the mark, but no longer puts off its end: a trial comes at its time whatever is refused.

Why it works: refusing depends on evidence and its age only. A deadly content costs two late repeats of the three that the platform allows; the third is left for instances that learn late.

Open: a harmless request is still marked in such an outage (attribution), and no command ends a mark.

--- a/reel/quarantine/mark.go
+++ b/reel/quarantine/mark.go
@@ -40,6 +40,7 @@
 	Until       time.Time   `json:"until" msgpack:"u"`                        // expiry time
 	Proven      bool        `json:"proven,omitempty" msgpack:"p,omitempty"`   // whether the fingerprint ever ran without a crash
 	Complete    bool        `json:"complete,omitempty" msgpack:"c,omitempty"` // whether a request with it was ever answered by all its services
+	Trials      []uint64    `json:"trials,omitempty" msgpack:"r,omitempty"`   // ids of the trials since it was quarantined, at most maxTrials
 }
 
 // Crashes returns the number of crashes in the mark for which there is evidence; those in one wave count once.
@@ -89,6 +90,9 @@
 	data = binary.BigEndian.AppendUint64(data, mark.Version)
 	data = strconv.AppendBool(data, mark.Proven)
 	data = strconv.AppendBool(data, mark.Complete)
+	for _, trial := range mark.Trials {
+		data = binary.BigEndian.AppendUint64(data, trial)
+	}
 	for _, loss := range mark.Losses {
 		data = append(data, loss.Target...)
 		data = binary.BigEndian.AppendUint64(data, uint64(loss.Born))
--- a/reel/quarantine/quarantine.go
+++ b/reel/quarantine/quarantine.go
@@ -34,11 +34,12 @@
 	Untried                    // the fingerprint has neither a mark nor a recorded success
 	Suspect                    // a target crashed while the fingerprint ran on it
 	Quarantined                // the fingerprint reached MaxLosses and is rejected
+	TrialDue                   // the fingerprint is quarantined, and one request with it is to be tried now; a Tracker never returns it
 )
 
 // String returns the name of the verdict.
 func (verdict Verdict) String() string {
-	return [...]string{"clear", "untried", "suspect", "quarantined"}[verdict]
+	return [...]string{"clear", "untried", "suspect", "quarantined", "trial due"}[verdict]
 }
 
 // Tracker stores the marks and the trusted fingerprints of one instance. The zero value is ready to use, and a
@@ -50,6 +51,7 @@
 	trusted         map[Fingerprint]trust
 	changedAt       map[Fingerprint]time.Time // when each mark last changed on this instance
 	lostAt          map[Fingerprint]time.Time // when the number of crashes in each mark last changed on this instance
+	evidenceAt      map[Fingerprint]time.Time // when this instance learned of the last crash or trial in each mark
 	replicatedUntil map[Fingerprint]time.Time // expiry of each mark as the other instances know it
 	trustOrder      []Fingerprint             // trusted fingerprints, oldest first
 	changes         uint64                    // incremented whenever a mark changes or is removed
@@ -176,6 +178,9 @@
 	mark.Losses, mark.Proven = kept, mark.Proven || service != ""
 	mark.Version++
 	mark.Until = now.Add(MarkLifetime)
+	if len(kept) == 0 {
+		mark.Trials = nil
+	}
 	if len(kept) == 0 && service != "" {
 		mark.Until = now.Add(clearedLifetime)
 	}
@@ -248,6 +253,12 @@
 		received.Complete = true
 		received.Version++
 	}
+	if trials := mergeTrials(current.Trials, received.Trials); len(received.Losses) > 0 && len(trials) > len(received.Trials) {
+		received.Trials = trials
+		if received.Version > current.Version {
+			received.Version++ // makes the sender take over the trials that it does not have
+		}
+	}
 	merged := mergeLosses(current.Losses, received.Losses)
 	switch {
 	case received.Version == current.Version:
--- a/reel/quarantine/store.go
+++ b/reel/quarantine/store.go
@@ -21,6 +21,9 @@
 	if crashes := mark.Crashes(); crashes != old.Crashes() {
 		tracker.lostAt[mark.Fingerprint] = now
 	}
+	if len(mark.Losses) > len(old.Losses) || !slices.Equal(mark.Trials, old.Trials) {
+		tracker.evidenceAt[mark.Fingerprint] = now
+	}
 	tracker.replicatedUntil[mark.Fingerprint] = mark.Until
 	tracker.changes++
 	if len(tracker.marks) <= MaxMarks {
@@ -52,6 +55,7 @@
 	delete(tracker.marks, fingerprint)
 	delete(tracker.changedAt, fingerprint)
 	delete(tracker.lostAt, fingerprint)
+	delete(tracker.evidenceAt, fingerprint)
 	delete(tracker.replicatedUntil, fingerprint)
 	tracker.changes++
 }
@@ -71,6 +75,7 @@
 	if tracker.marks == nil {
 		tracker.marks = map[Fingerprint]Mark{}
 		tracker.lostAt = map[Fingerprint]time.Time{}
+		tracker.evidenceAt = map[Fingerprint]time.Time{}
 		tracker.lost = map[process][]Fingerprint{}
 		tracker.changedAt = map[Fingerprint]time.Time{}
 		tracker.replicatedUntil = map[Fingerprint]time.Time{}
--- a/reel/query/messages.go
+++ b/reel/query/messages.go
@@ -46,7 +46,7 @@
 	// Verdict returns the verdict on the requests with the fingerprint, and for how long it lasts. The losses of an attempt
 	// are recorded before its end is passed to HandleAnswer.
 	Verdict(now time.Time, fingerprint quarantine.Fingerprint) (quarantine.Verdict, time.Duration)
-	// BeginTrial reports whether a suspect request with the fingerprint may be tried now. No other one may until EndTrial.
+	// BeginTrial reports whether a request with the fingerprint that is suspect, or whose trial is due, may be tried now. No other one may until EndTrial.
 	BeginTrial(now time.Time, fingerprint quarantine.Fingerprint) bool
 	// EndTrial ends the trial; the next one may begin at the time given.
 	EndTrial(fingerprint quarantine.Fingerprint, next time.Time)
--- a/reel/query/query.go
+++ b/reel/query/query.go
@@ -49,6 +49,7 @@
 	extras          int           // extra attempts in flight
 	trial           bool          // whether the request may have crashed a target before and has only one attempt until it is proven
 	suspect         bool          // whether the request began as a trial
+	retrial         bool          // whether it was quarantined then, so that it shows whether that lasts
 	trialUntil      time.Time     // when a trial without an answer ends
 	unsentReason    string        // why no attempt was sent yet, empty once one may be
 	quietRetryAfter time.Duration // until a service takes requests again whose targets want none now
@@ -276,7 +277,7 @@
 // startAttempt sends an attempt of the given kind for the part, or waits if no untried target has free capacity.
 func (machine *Machine) startAttempt(now time.Time, part *part, kind string) []Action {
 	part.capacityCheckAt, part.held = time.Time{}, false
-	if machine.isQuarantined(now) {
+	if !machine.mayStart(part) && machine.isQuarantined(now) {
 		part.skipReason, part.failed = reasonQuarantined, part.inFlight == 0
 		return nil
 	}
--- a/reel/query/trial_test.go
+++ b/reel/query/trial_test.go
@@ -122,6 +122,59 @@
 	})
 }
 
+// TestRetrial checks that a quarantined request that is tried again has one attempt that may crash a target, and goes on once it is proven.
+func TestRetrial(t *testing.T) {
+	begin := func(t *testing.T) *session {
+		session := newSession(t, scatterGather(5, 0.6))
+		session.router.verdict = quarantine.TrialDue
+		session.begin()
+		session.assertSends(1)
+		session.router.verdict = quarantine.Quarantined // until it ends well, for all others too
+		return session
+	}
+	t.Run("the others follow its answer", func(t *testing.T) {
+		session := begin(t)
+		session.succeed(30, session.sends)
+		session.assertSends(5)
+		session.succeed(60, session.sends[1:])
+		session.assertEnd(result.OK)
+	})
+	t.Run("a crash ends it", func(t *testing.T) {
+		session := begin(t)
+		session.answer(20, session.sends[0], crashed)
+		session.assertSends(1)
+		session.assertEnd(result.Broken)
+	})
+	t.Run("a broken connection ends it", func(t *testing.T) {
+		session := begin(t)
+		session.answer(20, session.sends[0], unanswered)
+		session.assertSends(1)
+		session.assertEnd(result.Broken)
+	})
+	t.Run("a refusal moves it to another target", func(t *testing.T) {
+		session := begin(t)
+		session.answer(5, session.sends[0], refused)
+		session.assertSends(2)
+		session.succeed(30, session.sends[1:])
+		session.assertSends(6)
+	})
+	t.Run("a crash of another shard is not followed by a retry there", func(t *testing.T) {
+		session := begin(t)
+		session.succeed(30, session.sends)
+		session.answer(50, session.sends[1], crashed)
+		session.assertSends(5)
+	})
+	t.Run("another one with the same content is refused", func(t *testing.T) {
+		session := newSession(t, single(true))
+		session.router.verdict, session.router.tried = quarantine.TrialDue, true
+		session.begin()
+		session.router.verdict = quarantine.Quarantined
+		session.wake(1)
+		session.assertSends(0)
+		session.assertEnd(result.Quarantined)
+	})
+}
+
 func TestQuarantinedRequest(t *testing.T) {
 	t.Run("is refused before anything is sent", func(t *testing.T) {
 		session := newSession(t, scatterGather(5, 0.6))
--- a/shallotreel/crashwatch/crashwatch.go
+++ b/shallotreel/crashwatch/crashwatch.go
@@ -41,6 +41,9 @@
 	pendingSince time.Time // start of the second to which pending applies
 	pending      int
 	trials       map[quarantine.Fingerprint]time.Time // when the next trial may begin, zero while one is in progress
+	retrials     map[quarantine.Fingerprint]*retrial  // those trials in progress whose request is quarantined
+	self         string                               // name of this instance
+	others       []string                             // names of the other instances that reach targets
 	alive        func(time.Time) bool                 // reports whether any target has given a sign of life after the time
 	doubtful     []uint64                             // abandoned attempts at silent targets, since which no target has given one
 }
@@ -54,16 +57,16 @@
 	return func(watch *Watch) { watch.alive = alive }
 }
 
-type counters struct{ attributed, dismissed, pending, learned, refused, cleared, dropped tally.Counter }
+type counters struct{ attributed, dismissed, pending, learned, refused, retried, cleared, dropped tally.Counter }
 
 // New returns a Watch that keeps its marks in the tracker and calls replicate for each one that changes.
 func New(tracker *quarantine.Tracker, targets Catalogue, replicate func(quarantine.Fingerprint), log logrus.FieldLogger, scope tally.Scope, options ...Option) *Watch {
 	watch := &Watch{tracker: tracker, catalogue: targets, log: log, replicate: replicate, ledger: crash.NewLedger(), lines: linelimit.New(linesPerSecond),
-		trials: map[quarantine.Fingerprint]time.Time{}, alive: func(time.Time) bool { return true },
+		trials: map[quarantine.Fingerprint]time.Time{}, retrials: map[quarantine.Fingerprint]*retrial{}, alive: func(time.Time) bool { return true },
 		counters: counters{attributed: scope.Counter("crashes_attributed"), dismissed: scope.Counter("crashes_dismissed"),
 			pending: scope.Counter("crashes_suspected"),
 			learned: scope.Counter("crash_marks_learned"),
-			refused: scope.Counter("crash_refusals"), cleared: scope.Counter("crash_marks_cleared"),
+			refused: scope.Counter("crash_refusals"), retried: scope.Counter("crash_retrials"), cleared: scope.Counter("crash_marks_cleared"),
 			dropped: scope.Counter("crash_lines_dropped")}}
 	for _, option := range options {
 		option(watch)
@@ -71,8 +74,8 @@
 	return watch
 }
 
-// Verdict returns the verdict on the requests with the fingerprint, and for how long it lasts. A request under which a
-// target may have crashed is suspect until it runs, or until its attempts are too old to be attributed.
+// Verdict returns the verdict on the requests with the fingerprint, and for how long it lasts; that of a quarantined one lasts until its next
+// trial. A request under which a target may have crashed is suspect until it runs, or until its attempts are too old to be attributed.
 func (watch *Watch) Verdict(now time.Time, fingerprint quarantine.Fingerprint) (quarantine.Verdict, time.Duration) {
 	verdict := watch.tracker.Verdict(now, fingerprint)
 	if verdict == quarantine.Untried {
@@ -82,17 +85,24 @@
 			verdict = quarantine.Suspect
 		}
 	}
+	if verdict == quarantine.Quarantined {
+		return watch.quarantineVerdict(now, fingerprint)
+	}
 	return verdict, watch.tracker.Remaining(now, fingerprint)
 }
 
-// BeginTrial reports whether a suspect request with the fingerprint may be tried now. No other one may until EndTrial.
+// BeginTrial reports whether a request with the fingerprint that is suspect, or whose trial is due, may be tried now. No other one may until EndTrial.
 func (watch *Watch) BeginTrial(now time.Time, fingerprint quarantine.Fingerprint) bool {
+	quarantined := watch.tracker.Verdict(now, fingerprint) == quarantine.Quarantined
 	watch.mutex.Lock()
 	defer watch.mutex.Unlock()
-	if next, tried := watch.trials[fingerprint]; tried && (next.IsZero() || now.Before(next)) {
+	if !watch.mayTry(now, fingerprint) {
 		return false
 	}
 	watch.trials[fingerprint] = time.Time{}
+	if quarantined {
+		watch.retrials[fingerprint] = &retrial{beganAt: now}
+	}
 	return true
 }
 
@@ -100,6 +110,7 @@
 func (watch *Watch) EndTrial(fingerprint quarantine.Fingerprint, next time.Time) {
 	watch.mutex.Lock()
 	defer watch.mutex.Unlock()
+	next = watch.endRetrial(fingerprint, next)
 	if next.IsZero() {
 		delete(watch.trials, fingerprint)
 		return
@@ -110,8 +121,12 @@
 // Sent records an attempt that is about to be sent.
 func (watch *Watch) Sent(attempt crash.Attempt) {
 	watch.mutex.Lock()
-	defer watch.mutex.Unlock()
 	watch.ledger.Sent(attempt)
+	first := watch.spendRetrial(attempt.Fingerprint)
+	watch.mutex.Unlock()
+	if first {
+		watch.recordRetrial(attempt)
+	}
 }
 
 // Answered records a sign of life of the target: any answer, to whatever request.
--- a/shallotreel/crashwatch/simulated_instance_test.go
+++ b/shallotreel/crashwatch/simulated_instance_test.go
@@ -47,6 +47,7 @@
 		instance.replication.Changed(instance.simulation.Now, fingerprint)
 		instance.push()
 	}, log, tally.NoopScope)
+	instance.watch.SetMembers(instance.name(), instance.simulation.members())
 	instance.repeat(tickPeriod, func() { instance.watch.Tick(instance.simulation.Now) })
 	instance.repeat(gossipPeriod, func() {
 		instance.push()
--- a/shallotreel/crashwatch/simulation_test.go
+++ b/shallotreel/crashwatch/simulation_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shallotreel.example/reel/catalogue"
+	"shallotreel.example/reel/member"
 	"shallotreel.example/reel/query"
 	"shallotreel.example/reel/virtualtime"
 )
@@ -51,6 +52,8 @@
 	rivals     int           // further requests that crash their targets
 	queue      time.Duration // longest time that a request waits at a target before it is run, after the first queueFrom
 	stall      time.Duration // longest time for which an instance learns of no end and no timer of an attempt, after the first queueFrom
+	outages    int           // times at which all targets of some services crash at the same moment without a culprit
+	services   int           // whose targets crash in an outage, each time the next ones
 }
 
 // simulation runs the machines of several instances in virtual time.
@@ -104,6 +107,15 @@
 	return simulation
 }
 
+// members returns all instances as members of the fleet, as if all of them knew each other at once.
+func (simulation *simulation) members() []member.Member {
+	var members []member.Member
+	for _, instance := range simulation.instances {
+		members = append(members, member.Member{Name: instance.name(), State: member.Alive})
+	}
+	return members
+}
+
 func (simulation *simulation) draw(limit time.Duration) time.Duration {
 	return time.Duration(simulation.random.Int64N(int64(limit)) + 1)
 }
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -226,6 +226,7 @@
 func (front *Front) setMembers(members []member.Member) {
 	front.router.SetMembers(members)
 	front.helpers.SetMembers(members)
+	front.crashes.SetMembers(front.self.Name, members)
 }
 
 func (front *Front) replicateMark(fingerprint quarantine.Fingerprint) {
