Crashwatch: an answer by all services clears the losses at services that a route led to before

Cause: success clears the losses at the service that answered only, since a request may crash the targets of one service and not of another. A request that goes to another service in place of that one never has an answer there.

Change: when a request was answered by all its services, losses at services that neither its route nor the newest configuration's route of that name leads to are cleared. Services of a weighted route are all named by it, so their losses stay.

Why it works: what is cleared are losses at targets that such a request doesn't reach any more. One that began under an older configuration keeps the losses at services of the newer one that this instance knows; one that doesn't know it yet may clear them once.

--- a/reel/quarantine/blame_test.go
+++ b/reel/quarantine/blame_test.go
@@ -124,7 +124,7 @@
 	t.Run("at all crashes of several requests, after it was answered by all services", func(t *testing.T) {
 		var tracker Tracker
 		tracker.RecordServiceSuccess(start, 9, "desk")
-		tracker.RecordCompletion(start, 9)
+		tracker.RecordCompletion(start, 9, anyService)
 		for wave, target := range []string{"a", "b", "c", "d"} {
 			culprit := Fingerprint(7 + wave%2)
 			tracker.RecordLoss(start, culprit, loss(target, uint64(wave+1), 0))
@@ -168,6 +168,31 @@
 	}
 }
 
+func anyService(string) bool { return true }
+
+// TestCompletionClearsFormerServices guards against losses that no success can clear, since the request goes to another service in place of theirs.
+func TestCompletionClearsFormerServices(t *testing.T) {
+	tracker, peer := quarantined(t)
+	now := start.Add(settled)
+	if mark, changed := tracker.RecordServiceSuccess(now, 7, "successor"); changed {
+		peer.Merge(now, mark)
+	}
+	assertVerdict(t, tracker, now, Suspect) // proven, so that one crash more is required
+	tracker.RecordLoss(now, 7, loss("c", 3, settled))
+	now = now.Add(completeSettleTime)
+	assertVerdict(t, tracker, now, Quarantined)
+	mark, changed := tracker.RecordCompletion(now, 7, func(service string) bool { return service == "successor" })
+	if !changed || len(mark.Losses) != 0 {
+		t.Fatalf("the mark is %+v, changed %v, want none of the losses at the former service", mark, changed)
+	}
+	peer.Merge(now, mark)
+	assertVerdict(t, tracker, now, Clear)
+	assertVerdict(t, peer, now, Untried)
+	if tracker.Digest() != peer.Digest() {
+		t.Error("the instances have different digests")
+	}
+}
+
 // TestRepeatedRequestKeepsMark guards against a mark that expires on a clock and allows further crashes each time, while
 // the request keeps coming.
 func TestRepeatedRequestKeepsMark(t *testing.T) {
@@ -239,7 +264,7 @@
 			case 2:
 				tracker.RecordServiceSuccess(now, fingerprint, "desk")
 			case 3:
-				tracker.RecordCompletion(now, fingerprint)
+				tracker.RecordCompletion(now, fingerprint, anyService)
 			case 4:
 				other := rapid.SampledFrom(trackers).Draw(t, "other")
 				for _, mark := range tracker.Marks(now) {
--- a/reel/quarantine/quarantine.go
+++ b/reel/quarantine/quarantine.go
@@ -188,9 +188,9 @@
 	return mark, true
 }
 
-// RecordCompletion records that a request with the fingerprint was answered by all its services. It returns the mark on
-// the fingerprint, and true if the mark changed.
-func (tracker *Tracker) RecordCompletion(now time.Time, fingerprint Fingerprint) (Mark, bool) {
+// RecordCompletion records that a request with the fingerprint was answered by all its services. That clears the losses at services to which such a
+// request doesn't go any more, as the function reports. It returns the mark on the fingerprint, and true if the mark changed.
+func (tracker *Tracker) RecordCompletion(now time.Time, fingerprint Fingerprint, goesTo func(service string) bool) (Mark, bool) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	tracker.ensureMaps()
@@ -199,9 +199,18 @@
 		tracker.trusted[fingerprint] = trust
 	}
 	mark := tracker.currentMark(now, fingerprint)
-	if mark.Version == 0 || mark.Complete {
+	kept := slices.DeleteFunc(slices.Clone(mark.Losses), func(loss Loss) bool { return loss.Service != "" && !goesTo(loss.Service) })
+	cleared := len(kept) < len(mark.Losses)
+	if mark.Version == 0 || mark.Complete && !cleared {
 		return mark, false
 	}
+	if cleared {
+		mark.Losses, mark.Proven = kept, true
+		if len(kept) == 0 {
+			mark.Trials, mark.Until = nil, now.Add(clearedLifetime)
+			tracker.addTrusted(now, fingerprint)
+		}
+	}
 	// A mark without losses changes too: the next crash may be recorded by an instance that never completed the request.
 	mark.Complete = true
 	mark.Version++
--- a/shallotreel/crashwatch/crashwatch.go
+++ b/shallotreel/crashwatch/crashwatch.go
@@ -224,13 +224,24 @@
 	watch.replicate(attempt.Fingerprint)
 }
 
-// Completed records that all services of a request answered it.
-func (watch *Watch) Completed(now time.Time, fingerprint quarantine.Fingerprint) {
-	if _, changed := watch.tracker.RecordCompletion(now, fingerprint); changed {
+// Completed records that all services of a request on the route answered it.
+func (watch *Watch) Completed(now time.Time, fingerprint quarantine.Fingerprint, route *catalogue.Route) {
+	goesTo := func(service string) bool {
+		return slices.Contains(route.ServiceNames(), service) || watch.leadsTo(route.Name, service)
+	}
+	if _, changed := watch.tracker.RecordCompletion(now, fingerprint, goesTo); changed {
 		watch.replicate(fingerprint)
 	}
 }
 
+// leadsTo reports whether the newest configuration sends requests on the route to the service.
+func (watch *Watch) leadsTo(route, service string) bool {
+	configuration := watch.catalogue.View().Configuration
+	return configuration != nil && slices.ContainsFunc(configuration.Routes, func(newest catalogue.Route) bool {
+		return newest.Name == route && slices.Contains(newest.ServiceNames(), service)
+	})
+}
+
 // HasAbandoned reports whether Refused would attribute any attempt at the target.
 func (watch *Watch) HasAbandoned(target catalogue.Target) bool {
 	watch.mutex.Lock()
--- a/shallotreel/crashwatch/simulated_request_test.go
+++ b/shallotreel/crashwatch/simulated_request_test.go
@@ -152,7 +152,7 @@
 	simulation := session.instance.simulation
 	session.finished = true
 	if finish.Code == result.OK {
-		session.instance.watch.Completed(simulation.Now, session.fingerprint)
+		session.instance.watch.Completed(simulation.Now, session.fingerprint, simulation.route)
 	}
 	if finish.Code == result.Quarantined {
 		session.instance.watch.RecordRefusal(simulation.Now, session.request, session.fingerprint)
--- a/shallotreel/ingress/run.go
+++ b/shallotreel/ingress/run.go
@@ -95,7 +95,7 @@
 		run.handler.crashes.RecordRefusal(time.Now(), run.record.ID, run.record.Fingerprint)
 	}
 	if finish.Code == result.OK && run.record.HandedOver == "" {
-		run.handler.crashes.Completed(time.Now(), run.plan.Fingerprint)
+		run.handler.crashes.Completed(time.Now(), run.plan.Fingerprint, run.plan.Route)
 	}
 	run.record.Suspect = run.machine.Suspect()
 	run.leave(finish)
