--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -95,19 +95,19 @@
 	OnTargetChange func(catalogue.Change)
 }
 
-// New returns a Feed that is idle until Start is called and stops when the context ends.
+// New returns a Feed that stops when the context ends. Until Start is called it reads nothing, and answers peers that it knows nothing.
 func New(ctx context.Context, system *actor.ActorSystem, config Config) *Feed {
 	feed := &Feed{ctx: ctx, root: system.Root, store: config.Store, peers: config.Peers, incarnation: config.Incarnation,
 		log: config.Log, onReady: config.OnReady, onTargetChange: config.OnTargetChange, catalogue: catalogue.New(), changed: make(chan struct{}),
 		ignoredLines: linelimit.New(ignoredLinesPerSecond)}
 	feed.view.Store(feed.catalogue.View())
 	feed.position.Store(&cursor.Position{})
+	feed.pid = feed.root.Spawn(actor.PropsFromFunc(feed.receive))
 	return feed
 }
 
-// Start starts the actor and the goroutines that read from the store and from peers.
+// Start starts the goroutines that read from the store and from peers.
 func (feed *Feed) Start() {
-	feed.pid = feed.root.Spawn(actor.PropsFromFunc(feed.receive))
 	go feed.tickPeriodically()
 	go feed.follow()
 	go feed.bootstrap()
--- a/shallotreel/feed/feed_test.go
+++ b/shallotreel/feed/feed_test.go
@@ -49,6 +49,14 @@
 
 // start starts a Feed that reads from the store and serves peers until the test ends.
 func start(t *testing.T, store netip.AddrPort, peers *fakePeers) *instance {
+	t.Helper()
+	instance := create(t, store, peers)
+	instance.Start()
+	return instance
+}
+
+// create creates a Feed that serves peers until the test ends, and is not started.
+func create(t *testing.T, store netip.AddrPort, peers *fakePeers) *instance {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	system := actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
@@ -68,10 +76,25 @@
 		server.Close()
 		system.Shutdown()
 	})
-	feed.Start()
 	return &instance{feed, peers, address}
 }
 
+// TestCallsBeforeStart guards against calls of peers that come while the process starts, and end it.
+func TestCallsBeforeStart(t *testing.T) {
+	instance := create(t, freeAddress(t), &fakePeers{})
+	reply := instance.Since(cataloguesync.Query{Leaving: []cataloguesync.Leaving{{ID: "one"}}})
+	if reply.Age <= cursor.MaxAge || len(reply.Delta.Targets) > 0 {
+		t.Errorf("the reply %+v passes for one of a process that has read the store", reply)
+	}
+	if reply := instance.Evacuations(); reply.Age <= cursor.MaxAge {
+		t.Errorf("the reply %+v passes for one of a process that knows the evacuations", reply)
+	}
+	instance.Start()
+	if reply := instance.Since(cataloguesync.Query{}); reply.Age <= cursor.MaxAge {
+		t.Errorf("the reply %+v passes for one of a process that has read the store", reply)
+	}
+}
+
 // freeAddress returns a local address at which no server listens.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
