Reelctl: marks are shown with their trials, and as ended once they are cleared

Seen: after a success has cleared a mark, reelctl marks goes on showing it as quarantined, since the line that tells of the clearing has no verdict. An operator would look for a refusal that has ended. Trials of quarantined requests are new, and marks are now cleared while an operator looks.

Cause: the verdict of a mark is that of the newest line that has one.

Change: a line that clears the last crash ends the verdict; lines of trials show their number.

--- a/reelctl/trace/marks.go
+++ b/reelctl/trace/marks.go
@@ -17,7 +17,10 @@
 	Reasons     []*Line `json:"reasons"` // lines that raised, learned or cleared the mark, ordered by time
 }
 
-const refusalMessage = "request refused by its mark"
+const (
+	refusalMessage = "request refused by its mark"
+	clearedMessage = "mark on a request that ran without a crash is cleared"
+)
 
 // Marks returns the marks that the lines mention, those with the most refusals first.
 func Marks(lines []*Line) []Mark {
@@ -37,6 +40,9 @@
 			mark.Refusals++
 			continue
 		}
+		if line.Message == clearedMessage && line.Crashes == 0 {
+			mark.Verdict = "" // no crash counts any more
+		}
 		mark.Reasons = append(mark.Reasons, line)
 	}
 	var list []Mark
--- a/reelctl/trace/print.go
+++ b/reelctl/trace/print.go
@@ -82,6 +82,9 @@
 	if line.Verdict != "" {
 		details = append(details, line.Verdict)
 	}
+	if line.Trials > 0 {
+		details = append(details, fmt.Sprintf("trial %d", line.Trials))
+	}
 	return strings.Join(details, ", ")
 }
 
--- a/reelctl/trace/trace.go
+++ b/reelctl/trace/trace.go
@@ -57,6 +57,7 @@
 	Evidence    string    `json:"evidence"`
 	Crashes     int       `json:"crashes"` // under requests with the fingerprint
 	Verdict     string    `json:"verdict"` // on them
+	Trials      int       `json:"trials"`  // of them since they are quarantined
 	Attempts    []Attempt `json:"attempts"`
 	Gaps        []Gap     `json:"gaps"`
 	Origin      string    `json:"origin"`      // instance that handed the request over to this one
