Quarantine: only trials that failed count

Cause: each trial counted.

Change: a trial counts once a target crashed under it, or may have. The instance that tried knows: the crash is attributed to an attempt of that request. Its id then joins the failed ones of the mark, which merge as before; the newest trial's id tells the others that one is in progress, so that they wait 5 s.

Why it works: what the platform bounds are repeats that crash targets; each of these is counted as before. One that crashes nothing costs what any answered request costs.

--- a/reel/quarantine/mark.go
+++ b/reel/quarantine/mark.go
@@ -40,7 +40,8 @@
 	Until       time.Time   `json:"until" msgpack:"u"`                        // expiry time
 	Proven      bool        `json:"proven,omitempty" msgpack:"p,omitempty"`   // whether the fingerprint ever ran without a crash
 	Complete    bool        `json:"complete,omitempty" msgpack:"c,omitempty"` // whether a request with it was ever answered by all its services
-	Trials      []uint64    `json:"trials,omitempty" msgpack:"r,omitempty"`   // ids of the trials since it was quarantined, at most maxTrials
+	Tried       uint64      `json:"tried,omitempty" msgpack:"d,omitempty"`    // id of the newest trial since it was quarantined
+	Trials      []uint64    `json:"trials,omitempty" msgpack:"r,omitempty"`   // ids of the trials that failed, at most maxTrials
 }
 
 // Crashes returns the number of crashes in the mark for which there is evidence; those in one wave count once.
@@ -90,6 +91,7 @@
 	data = binary.BigEndian.AppendUint64(data, mark.Version)
 	data = strconv.AppendBool(data, mark.Proven)
 	data = strconv.AppendBool(data, mark.Complete)
+	data = binary.BigEndian.AppendUint64(data, mark.Tried)
 	for _, trial := range mark.Trials {
 		data = binary.BigEndian.AppendUint64(data, trial)
 	}
--- a/reel/quarantine/quarantine.go
+++ b/reel/quarantine/quarantine.go
@@ -179,7 +179,7 @@
 	mark.Version++
 	mark.Until = now.Add(MarkLifetime)
 	if len(kept) == 0 {
-		mark.Trials = nil
+		mark.Tried, mark.Trials = 0, nil
 	}
 	if len(kept) == 0 && service != "" {
 		mark.Until = now.Add(clearedLifetime)
@@ -207,7 +207,7 @@
 	if cleared {
 		mark.Losses, mark.Proven = kept, true
 		if len(kept) == 0 {
-			mark.Trials, mark.Until = nil, now.Add(clearedLifetime)
+			mark.Tried, mark.Trials, mark.Until = 0, nil, now.Add(clearedLifetime)
 			tracker.addTrusted(now, fingerprint)
 		}
 	}
@@ -271,7 +271,7 @@
 	merged := mergeLosses(current.Losses, received.Losses)
 	switch {
 	case received.Version == current.Version:
-		received.Losses = merged
+		received.Losses, received.Tried = merged, max(received.Tried, current.Tried)
 		if received.hash() == current.hash() && received.Until.Sub(current.Until) < renewalStep {
 			return false
 		}
--- a/reel/quarantine/store.go
+++ b/reel/quarantine/store.go
@@ -21,7 +21,7 @@
 	if crashes := mark.Crashes(); crashes != old.Crashes() {
 		tracker.lostAt[mark.Fingerprint] = now
 	}
-	if len(mark.Losses) > len(old.Losses) || !slices.Equal(mark.Trials, old.Trials) {
+	if len(mark.Losses) > len(old.Losses) || mark.Tried != old.Tried || !slices.Equal(mark.Trials, old.Trials) {
 		tracker.evidenceAt[mark.Fingerprint] = now
 	}
 	tracker.replicatedUntil[mark.Fingerprint] = mark.Until
--- a/reel/quarantine/trial_test.go
+++ b/reel/quarantine/trial_test.go
@@ -36,10 +36,28 @@
 			assertNextTrial(t, tracker, now, at)
 			assertNextTrial(t, peer, now, at)
 		}
-		mark, ok := tracker.RecordTrial(start.Add(at), 7, uint64(100-number))
-		if !ok || !peer.Merge(start.Add(at), mark) {
+		now, id := start.Add(at), uint64(100-number)
+		mark, ok := tracker.RecordTrial(now, 7, id)
+		if !ok || !peer.Merge(now, mark) {
 			t.Fatalf("trial %d is not recorded", number)
 		}
+		mark, ok = tracker.RecordFailedTrial(now, 7, id)
+		if !ok || !peer.Merge(now, mark) {
+			t.Fatalf("the end of trial %d is not recorded", number)
+		}
+	}
+}
+
+// TestTrialsThatDidNotFail guards against trials that are used up although they showed nothing, such as one of a request to several shards of which
+// some have no targets.
+func TestTrialsThatDidNotFail(t *testing.T) {
+	tracker, peer := quarantined(t)
+	for trial := range 10 {
+		at := time.Duration(trial+1) * 5 * time.Second
+		assertNextTrial(t, tracker, start.Add(at), at)
+		assertNextTrial(t, peer, start.Add(at), at)
+		mark, _ := tracker.RecordTrial(start.Add(at), 7, uint64(trial+1))
+		peer.Merge(start.Add(at), mark)
 	}
 }
 
@@ -47,8 +65,10 @@
 func TestConcurrentTrials(t *testing.T) {
 	tracker, peer := quarantined(t)
 	now := start.Add(5 * time.Second)
-	own, _ := tracker.RecordTrial(now, 7, 1)
-	other, _ := peer.RecordTrial(now, 7, 2)
+	tracker.RecordTrial(now, 7, 1)
+	peer.RecordTrial(now, 7, 2)
+	own, _ := tracker.RecordFailedTrial(now, 7, 1)
+	other, _ := peer.RecordFailedTrial(now, 7, 2)
 	tracker.Merge(now, other)
 	peer.Merge(now, own)
 	assertNextTrial(t, tracker, now, 5*time.Second+MarkLifetime)
@@ -63,6 +83,7 @@
 	tracker, peer := quarantined(t)
 	now := start.Add(5 * time.Second)
 	tracker.RecordTrial(now, 7, 1)
+	tracker.RecordFailedTrial(now, 7, 1)
 	mark, cleared := tracker.RecordServiceSuccess(now, 7, "desk")
 	if !cleared || !peer.Merge(now, mark) {
 		t.Fatal("the success does not clear the mark")
--- a/shallotreel/crashwatch/crashwatch.go
+++ b/shallotreel/crashwatch/crashwatch.go
@@ -42,6 +42,7 @@
 	pending      int
 	trials       map[quarantine.Fingerprint]time.Time // when the next trial may begin, zero while one is in progress
 	retrials     map[quarantine.Fingerprint]*retrial  // those trials in progress whose request is quarantined
+	retried      map[string]time.Time                 // when quarantined requests were tried here, by the ID of the request
 	self         string                               // name of this instance
 	others       []string                             // names of the other instances that reach targets
 	alive        func(time.Time) bool                 // reports whether any target has given a sign of life after the time
@@ -62,7 +63,7 @@
 // New returns a Watch that keeps its marks in the tracker and calls replicate for each one that changes.
 func New(tracker *quarantine.Tracker, targets Catalogue, replicate func(quarantine.Fingerprint), log logrus.FieldLogger, scope tally.Scope, options ...Option) *Watch {
 	watch := &Watch{tracker: tracker, catalogue: targets, log: log, replicate: replicate, ledger: crash.NewLedger(), lines: linelimit.New(linesPerSecond),
-		trials: map[quarantine.Fingerprint]time.Time{}, retrials: map[quarantine.Fingerprint]*retrial{}, alive: func(time.Time) bool { return true },
+		trials: map[quarantine.Fingerprint]time.Time{}, retrials: map[quarantine.Fingerprint]*retrial{}, retried: map[string]time.Time{}, alive: func(time.Time) bool { return true },
 		counters: counters{attributed: scope.Counter("crashes_attributed"), dismissed: scope.Counter("crashes_dismissed"),
 			pending: scope.Counter("crashes_suspected"),
 			learned: scope.Counter("crash_marks_learned"),
@@ -171,6 +172,7 @@
 
 // recordPending marks the request whose attempt was abandoned, unless there are many such requests.
 func (watch *Watch) recordPending(now time.Time, attempt crash.Attempt) {
+	watch.failRetrial(now, attempt)
 	mark, marked := watch.tracker.Mark(now, attempt.Fingerprint)
 	if mark.HasWave(attempt.Wave) || !marked && !watch.allowPending(now) {
 		return
@@ -310,6 +312,7 @@
 		maps.DeleteFunc(watch.trials, func(_ quarantine.Fingerprint, next time.Time) bool {
 			return !next.IsZero() && !now.Before(next)
 		})
+		maps.DeleteFunc(watch.retried, func(_ string, at time.Time) bool { return now.Sub(at) >= outcomeTime })
 	}
 	watch.mutex.Unlock()
 	for _, attempt := range vouched {
@@ -324,6 +327,7 @@
 // record adds the attributed losses to the marks.
 func (watch *Watch) record(now time.Time, attributions []crash.Attribution) {
 	for _, attribution := range attributions {
+		watch.failRetrial(now, attribution.Attempt)
 		if attribution.Evidence != crash.Refused && watch.tracker.IsProven(now, attribution.Fingerprint) {
 			watch.counters.dismissed.Inc(1)
 			continue // would not count, and marks are sent to all instances
--- a/shallotreel/crashwatch/outage_test.go
+++ b/shallotreel/crashwatch/outage_test.go
@@ -84,6 +84,20 @@
 	}
 }
 
+// TestServedAfterLongOutage guards against trials that are used up while a shard has no targets, so that no other one clears the mark for half a day.
+func TestServedAfterLongOutage(t *testing.T) {
+	const down = time.Minute
+	for _, seed := range []uint64{0, 3} { // of six in which the request is refused at all
+		session, _ := playPopular(outage{seed: seed, services: 1, down: down, perSecond: 500}, false)
+		if session.refused == 0 {
+			t.Errorf("seed %d: no request was refused, so the session shows nothing", seed)
+		}
+		if left := session.last.Sub(epoch.Add(queueFrom + down)); left > servedAgain {
+			t.Errorf("seed %d: requests are refused %v after the outage", seed, left)
+		}
+	}
+}
+
 // TestTrialsOfCrashingRequest guards against trials of a quarantined request that crash more targets than a repeat may.
 func TestTrialsOfCrashingRequest(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/shallotreel/crashwatch/retrial.go
+++ b/shallotreel/crashwatch/retrial.go
@@ -16,6 +16,8 @@
 	// rankStep is how much later than the one before it each instance may try a quarantined request again. It is longer than a mark
 	// takes to arrive, and than most trials take.
 	rankStep = 3 * time.Second
+	// outcomeTime is how long a crash may be found after the trial under which it came. It is longer than attempts are attributed.
+	outcomeTime = 30 * time.Second
 	// minRetryAfter is the least time after which the caller of a quarantined request should ask again.
 	minRetryAfter = time.Second
 )
@@ -105,13 +107,33 @@
 
 // recordRetrial tells all instances that a quarantined request is being tried.
 func (watch *Watch) recordRetrial(attempt crash.Attempt) {
-	mark, ok := watch.tracker.RecordTrial(attempt.SentAt, attempt.Fingerprint, attempt.Wave)
+	mark, ok := watch.tracker.RecordTrial(attempt.SentAt, attempt.Fingerprint, trialID(attempt))
 	if !ok {
 		return
 	}
+	watch.mutex.Lock()
+	watch.retried[attempt.Request] = attempt.SentAt
+	watch.mutex.Unlock()
 	watch.counters.retried.Inc(1)
 	watch.write(attempt.SentAt, "quarantined request is tried again", logrus.Fields{"request": attempt.Request,
 		"fingerprint": attempt.Fingerprint.String(), "target": attempt.Target.ID, "service": attempt.Target.Service,
-		"crashes": mark.Crashes(), "trials": len(mark.Trials), "mark_version": mark.Version})
+		"crashes": mark.Crashes(), "trials": len(mark.Trials) + 1, "mark_version": mark.Version})
 	watch.replicate(attempt.Fingerprint)
 }
+
+// failRetrial tells all instances if the attempt, under which a target crashed or may have, was that of a trial.
+func (watch *Watch) failRetrial(now time.Time, attempt crash.Attempt) {
+	watch.mutex.Lock()
+	_, retried := watch.retried[attempt.Request]
+	delete(watch.retried, attempt.Request)
+	watch.mutex.Unlock()
+	if !retried {
+		return
+	}
+	if _, ok := watch.tracker.RecordFailedTrial(now, attempt.Fingerprint, trialID(attempt)); ok {
+		watch.replicate(attempt.Fingerprint)
+	}
+}
+
+// trialID returns an id of the trial to which the attempt belongs.
+func trialID(attempt crash.Attempt) uint64 { return xxhash.Sum64String(attempt.Request) }
