--- a/shallotreel/front/front_test.go
+++ b/shallotreel/front/front_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -23,15 +24,26 @@
 
 const waitTimeout = 20 * time.Second // for events that must happen eventually
 
+// listenOnFreePort listens on a local port below those that the system gives to outgoing connections, so that it is likely still unused when the test
+// listens on it again.
+func listenOnFreePort(t *testing.T) (net.Listener, netip.AddrPort) {
+	t.Helper()
+	for range 1000 {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(10_000+rand.IntN(20_000)))
+		if listener, err := net.Listen("tcp", address.String()); err == nil {
+			return listener, address
+		}
+	}
+	t.Fatal("no unused ports")
+	return nil, netip.AddrPort{}
+}
+
 // freeAddress returns a local address with an unused port.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener, address := listenOnFreePort(t)
 	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	return address
 }
 
 // startFront starts an instance with one target, which takes 5 ms for each request.
--- a/shallotreel/front/link_test.go
+++ b/shallotreel/front/link_test.go
@@ -37,12 +37,8 @@
 	t.Helper()
 	link := &link{target: target}
 	link.resume = sync.NewCond(&link.mutex)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	link.address, link.listener = netip.MustParseAddrPort(listener.Addr().String()), listener
-	go link.accept(listener)
+	link.listener, link.address = listenOnFreePort(t)
+	go link.accept(link.listener)
 	t.Cleanup(link.close)
 	return link
 }
