Ingress: the test of many bodies counts what the handler keeps, not what the test sends

No caller is concerned.

Cause: the heap is that of the test's process, and each of the 150 callers formatted its own text of 900 KiB, twice. Where a caller was still writing at the moment of the measurement, its copies counted as memory of the handler.

Change: all callers write the same bytes, which are there before the first measurement. Callers, bodies and bound stay.

--- a/shallotreel/ingress/body_test.go
+++ b/shallotreel/ingress/body_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
-	"strings"
 	"testing"
 	"time"
 )
@@ -27,6 +27,7 @@
 	fixture := newFixtureAt(t, writeRoute, listenRaw(t, answerWith("HTTP/1.1 200 OK")))
 	server := httptest.NewServer(fixture.handler)
 	t.Cleanup(server.Close)
+	body := bytes.Repeat([]byte("x"), sent) // of all callers, so that the heap has what the handler keeps
 	before := heapBytes()
 	var conns []net.Conn
 	refused := make(chan int, callers)
@@ -38,7 +39,8 @@
 		t.Cleanup(func() { conn.Close() })
 		conns = append(conns, conn)
 		go func() {
-			fmt.Fprintf(conn, "POST /x/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: long\r\nDeadline-Ms: 60000\r\nContent-Length: %d\r\n\r\n%s", sent+1, strings.Repeat("x", sent))
+			fmt.Fprintf(conn, "POST /x/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: long\r\nDeadline-Ms: 60000\r\nContent-Length: %d\r\n\r\n", sent+1)
+			_, _ = conn.Write(body) // fails for a caller that is refused
 		}()
 		go func() {
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
