--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -26,6 +26,7 @@
 	seq     int
 	state   string
 	beating bool
+	dark    bool
 	// handle decides about a request that this server was sent; nil to run it.
 	handle func(server *server, writer http.ResponseWriter, request *http.Request) bool
 }
@@ -69,6 +70,22 @@
 	return server.store.remove("servers/" + server.id)
 }
 
+// crash ends the server, which reports no more. A silent one keeps its connections and answers nothing, until it exits.
+func (server *server) crash(silent bool) {
+	server.mutex.Lock()
+	server.beating, server.dark = false, true
+	server.mutex.Unlock()
+	if !silent {
+		server.exit()
+	}
+}
+
+func (server *server) isDark() bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.dark
+}
+
 // exit ends the server.
 func (server *server) exit() { server.http.Close() }
 
