Feed: log lines tell a silent connection to the store from a slow store, and how old a version is by its way

The logs could not tell the hypotheses apart: a store that is slow, a peer whose copy is old, a reader that is chosen late, a connection that is silent. Only the first failure of an outage had a line, without times.

Now: 'call of the store failed' has how long the call took, whether its connection had been used before and for how long it lay idle; 'configuration in force' has the age of the peer's copy and the time since the last contact; 'store listed' has the revision of each page and whether the listing may be stale; the gauge store_dials counts connections beside store_calls.

--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -124,6 +124,11 @@
 	return feed.calls.Load()
 }
 
+// StoreDials returns the number of connections to the store that were opened, or tried.
+func (feed *Feed) StoreDials() int64 {
+	return feed.store.Dials()
+}
+
 func (feed *Feed) tickPeriodically() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -283,7 +288,7 @@
 			log.WithError(err).Error("configuration rejected; keeping the current version")
 		}
 	case feed.catalogue.Configure(configuration):
-		feed.logConfiguration(sourceStore, position)
+		feed.logConfiguration(sourceStore, position, 0)
 	case configuration.Version < current.Version:
 		feed.skipped = position
 		if !skipped {
@@ -299,7 +304,7 @@
 	old := feed.catalogue.Configuration()
 	feed.logChanges(feed.catalogue.Apply(now, feed.checked(now, reply.Delta), reply.Whole)...)
 	if feed.catalogue.Configuration() != old {
-		feed.logConfiguration(sourcePeer, reply.Position())
+		feed.logConfiguration(sourcePeer, reply.Position(), reply.Age)
 	}
 	feed.startup.evacuationsKnown = true
 }
@@ -310,7 +315,7 @@
 		return
 	}
 	feed.logChanges(feed.catalogue.Apply(now, feed.checked(now, reply.Delta), reply.Whole)...)
-	feed.logConfiguration(sourceStartup, reply.Position())
+	feed.logConfiguration(sourceStartup, reply.Position(), reply.Age)
 	feed.startup.evacuationsKnown = reply.Delta.SupportsEvacuations
 }
 
@@ -322,10 +327,16 @@
 	feed.log.WithFields(fields).Warn("store was restored from a copy; reading all of it again")
 }
 
-func (feed *Feed) logConfiguration(source string, position cursor.Position) {
+// logConfiguration logs a new version of the configuration: the way by which it came, for how long the source had not read the store, and
+// for how long this instance had not.
+func (feed *Feed) logConfiguration(source string, position cursor.Position, age time.Duration) {
 	configuration := feed.catalogue.Configuration()
-	feed.log.WithFields(logrus.Fields{"version": configuration.Version, "era": position.Era, "revision": position.Revision, "source": source,
-		"routes": len(configuration.Routes)}).Info("configuration in force")
+	log := feed.log.WithFields(logrus.Fields{"version": configuration.Version, "era": position.Era, "revision": position.Revision, "source": source,
+		"age_ms": age.Milliseconds(), "routes": len(configuration.Routes)})
+	if feed.lastContact.Load() > 0 {
+		log = log.WithField("since_contact_ms", feed.age().Milliseconds())
+	}
+	log.Info("configuration in force")
 }
 
 func (feed *Feed) logChanges(changes ...catalogue.Change) {
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -161,6 +161,7 @@
 	}
 	feed.checkEra(era, cursor)
 	if err != nil {
+		feed.logCall(read, err)
 		var outage bool
 		if pause, outage = cursor.Fail(err); outage {
 			feed.root.Send(feed.pid, callFailed{err})
@@ -171,6 +172,16 @@
 	feed.sleep(pause)
 }
 
+// logCall logs a call of the store that failed. Pauses between calls bound the number of lines.
+func (feed *Feed) logCall(read cursor.Read, err error) {
+	log := feed.log.WithError(err).WithFields(logrus.Fields{"whole": read.Whole, "after": read.After})
+	var call *platform.CallError
+	if errors.As(err, &call) {
+		log = log.WithFields(logrus.Fields{"elapsed_ms": call.Elapsed.Milliseconds(), "reused": call.Reused, "idle_ms": call.Idle.Milliseconds()})
+	}
+	log.Warn("call of the store failed")
+}
+
 // checkEra tells the catalogue that the store was restored, if the era was an earlier one before the last read.
 func (feed *Feed) checkEra(before uint64, cursor *cursor.Cursor) {
 	if now := cursor.Position().Era; now > before && before > 0 {
@@ -183,6 +194,7 @@
 // change. With allowStale the result may be seconds old.
 func (feed *Feed) list(cursor *cursor.Cursor, allowStale bool) (time.Duration, error) {
 	var revision uint64
+	var revisions []uint64 // of each page
 	after, first := "", true
 	for {
 		response, err := feed.call(cursor, callTimeout, func(ctx context.Context) (platform.StoreResponse, error) {
@@ -194,11 +206,13 @@
 		if first {
 			revision = response.Revision
 		}
+		revisions = append(revisions, response.Revision)
 		last := !response.HasMore || response.LastKey == ""
 		position := cursor.Position()
 		position.Revision = revision
 		feed.root.Send(feed.pid, listPage{response, first, last, position, allowStale})
 		if last {
+			feed.log.WithFields(logrus.Fields{"stale": allowStale, "era": position.Era, "revisions": revisions}).Info("store listed")
 			return cursor.ReadAll(revision, allowStale), nil
 		}
 		after, first = response.LastKey, false
--- a/shallotreel/front/gauges.go
+++ b/shallotreel/front/gauges.go
@@ -11,6 +11,7 @@
 	front.scope.Gauge("extra_responses").Update(float64(front.pool.ExtraResponses()))
 	front.updateHeldGauges()
 	front.scope.Gauge("store_calls").Update(float64(front.feed.StoreCalls()))
+	front.scope.Gauge("store_dials").Update(float64(front.feed.StoreDials()))
 	front.scope.Gauge("members").Update(float64(len(front.roster.Members())))
 	front.scope.Gauge("evacuations").Update(float64(len(front.View().Evacuations())))
 	front.scope.Gauge("running").Update(float64(front.handler.Running()))
