Store: an idle connection is closed after a second, and the bounds on a version's way add up to three

Cause: idle connections to the store were kept for ever. One that had gone silent was noticed only by the timeout of a watch, 2.3 s, at the next reader of a data centre; those that follow it left it after 1.8 s and met their own silent connection, 2.3 s more. Nothing held the sum of these bounds.

Evidence: 'call of the store failed elapsed_ms=2300 reused=true idle_ms=20287', then a new connection and the version within 2 ms. Ruled out: a slow store; a reader that is chosen late (left .2 s after its notice).

Change: IdleTimeout of 1 s, one idle connection at most; all bounds stand in reel/cursor/bounds.go beside InForceTime. The simulation of reel/cursor has connections that lie idle, go silent or are opened anew, and peers that hold their answers.

--- a/reel/cursor/cursor.go
+++ b/reel/cursor/cursor.go
@@ -7,12 +7,6 @@
 )
 
 const (
-	// MaxAge is the age above which the catalogue of a peer is not used while anything else is known. Changes must take
-	// effect within three seconds.
-	MaxAge = 1800 * time.Millisecond
-	// WatchTimeout is how long the store may wait for a change. The end of an idle watch shows that the store is reachable.
-	WatchTimeout = 1300 * time.Millisecond
-
 	catchUpTimeout   = 10 * time.Millisecond  // wait of the first watch after a stale read; short because peers may query soon
 	watchInterval    = 200 * time.Millisecond // pause between two watches, so that one call returns several changes
 	peerPollInterval = 50 * time.Millisecond  // pause after a change, so that one answer returns several changes
--- a/reel/cursor/fleet_test.go
+++ b/reel/cursor/fleet_test.go
@@ -27,7 +27,8 @@
 	slowPeer    = 200 * time.Millisecond
 	// electionTime is how long an instance is off before another one reads the store for the others.
 	electionTime = time.Second
-	operator     = "configuration" // key
+	newsTime     = 150 * time.Millisecond // after which the others know that an instance stops
+	operator     = "configuration"        // key
 )
 
 // record is the value of a key: a registration, or the version of the configuration.
@@ -50,19 +51,21 @@
 // simulation is a fleet of instances that read one store, in virtual time.
 type simulation struct {
 	virtualtime.Clock
-	random     *rand.Rand
-	era        uint64
-	state      copied
-	copies     []copied
-	downUntil  time.Time
-	answerTime time.Duration               // longest time for an answer of the store
-	peerTime   time.Duration               // longest time for an answer of a peer
-	versions   uint64                      // newest version of the configuration that was acknowledged
-	targets    map[string]catalogue.Target // running targets
-	born       int64
-	gone       map[string]time.Time // when the store acknowledged that a target leaves or has ended
-	instances  []*instance
-	fail       func(format string, args ...any)
+	random       *rand.Rand
+	era          uint64
+	state        copied
+	copies       []copied
+	downUntil    time.Time
+	answerTime   time.Duration               // longest time for an answer of the store
+	peerTime     time.Duration               // longest time for an answer of a peer
+	versions     uint64                      // newest version of the configuration that was acknowledged
+	targets      map[string]catalogue.Target // running targets
+	born         int64
+	gone         map[string]time.Time // when the store acknowledged that a target leaves or has ended
+	configuredAt time.Time            // when the newest version was acknowledged
+	silentAt     time.Time            // when connections to the store last went silent
+	instances    []*instance
+	fail         func(format string, args ...any)
 }
 
 func (simulation *simulation) draw(limit time.Duration) time.Duration {
@@ -123,7 +126,10 @@
 func (simulation *simulation) configure() {
 	simulation.versions++
 	version := simulation.versions
-	simulation.write(func() (record, bool) { return record{key: operator, version: version}, version == simulation.versions })
+	simulation.write(func() (record, bool) {
+		simulation.configuredAt = simulation.Now
+		return record{key: operator, version: version}, version == simulation.versions
+	})
 }
 
 func (simulation *simulation) copyPeriodically() {
@@ -233,10 +239,12 @@
 	return simulation
 }
 
-// reader returns the instance that reads the store for the others: the first one, unless it has been off for electionTime.
+// reader returns the instance that reads the store for the others: the first one, unless it has been off for electionTime, or has said
+// so long ago that it stops.
 func (simulation *simulation) reader() *instance {
 	for _, instance := range simulation.instances {
-		if instance.offSince.IsZero() || simulation.Now.Sub(instance.offSince) < electionTime {
+		isLeaving := !instance.leavingAt.IsZero() && simulation.Now.Sub(instance.leavingAt) >= newsTime
+		if !isLeaving && (instance.offSince.IsZero() || simulation.Now.Sub(instance.offSince) < electionTime) {
 			return instance
 		}
 	}
--- a/reel/cursor/simulated_instance_test.go
+++ b/reel/cursor/simulated_instance_test.go
@@ -26,11 +26,21 @@
 	version    uint64
 	startedAt  time.Time
 	offSince   time.Time // zero while the process runs
+	leavingAt  time.Time // when it was told to stop, zero if it was not
+	conn       storeConn
+}
+
+// storeConn is the connection of an instance to the store, by which it makes one call after the other.
+type storeConn struct {
+	isOpen bool
+	usedAt time.Time
+	silent bool // whether nothing arrives any more, in either direction
 }
 
 // start starts a process of the instance, which knows nothing.
 func (instance *instance) start() {
 	instance.process, instance.startedAt, instance.offSince = instance.simulation.random.Uint64(), instance.simulation.Now, time.Time{}
+	instance.leavingAt, instance.conn = time.Time{}, storeConn{}
 	instance.cursor, instance.catalogue = Cursor{}, catalogue.New()
 	instance.published, instance.contact, instance.version = Position{}, time.Time{}, 0
 	instance.later(0, instance.read)
@@ -65,35 +75,52 @@
 	next := instance.cursor.Next(simulation.Now, reader != instance && !reader.contact.IsZero())
 	switch {
 	case next.Peer:
-		instance.later(hop, func() { instance.readPeer(reader) })
+		instance.later(hop, func() { instance.readPeer(reader, simulation.Now.Add(PeerHold)) })
 	case next.Whole:
-		instance.later(hop, func() { instance.readAll(next) })
+		instance.call(CallTimeout, func(time.Time) { instance.readAll(next) })
 	default:
-		instance.later(hop, func() { instance.watch(next, simulation.Now.Add(next.Wait)) })
+		instance.call(next.Wait+CallTimeout, func(deadline time.Time) { instance.watch(next, simulation.Now.Add(next.Wait), deadline) })
 	}
 }
 
-// failsWithoutStore reports whether the store does not answer the instance, whose read then ends after a timeout.
-func (instance *instance) failsWithoutStore() bool {
+// call makes a call of the store, by a new connection if there is none or it has been idle for too long.
+func (instance *instance) call(timeout time.Duration, run func(deadline time.Time)) {
 	now := instance.simulation.Now
-	if !now.Before(instance.cutUntil) && !now.Before(instance.simulation.downUntil) {
-		return false
+	deadline := now.Add(timeout)
+	if instance.conn.isOpen && now.Sub(instance.conn.usedAt) < IdleTimeout {
+		instance.later(hop, func() { instance.awaitStore(deadline, func() { run(deadline) }) })
+		return
+	}
+	instance.conn = storeConn{}
+	instance.awaitStore(now.Add(DialTimeout), func() {
+		instance.conn.isOpen = true
+		instance.later(3*hop, func() { instance.awaitStore(deadline, func() { run(deadline) }) })
+	})
+}
+
+// awaitStore runs the function, which sends or answers a call, once the store reaches the instance again. The call ends at the deadline.
+func (instance *instance) awaitStore(deadline time.Time, run func()) {
+	now := instance.simulation.Now
+	switch {
+	case !now.Before(deadline):
+		instance.conn = storeConn{}
+		instance.end(errNoAnswer, 0)
+	case instance.conn.silent || now.Before(instance.cutUntil) || now.Before(instance.simulation.downUntil):
+		instance.later(pollPeriod, func() { instance.awaitStore(deadline, run) })
+	default:
+		run()
 	}
-	instance.later(time.Second, func() { instance.end(errNoAnswer, 0) })
-	return true
 }
 
 func (instance *instance) readAll(read Read) {
 	simulation := instance.simulation
-	if instance.failsWithoutStore() {
-		return
-	}
 	era, state := simulation.era, simulation.state
 	if last := len(simulation.copies) - 1; read.AllowStale && last >= 0 {
 		state = simulation.copies[last] // of the same era
 	}
 	items := slices.Collect(maps.Values(state.items))
 	instance.later(simulation.draw(simulation.answerTime), func() {
+		instance.conn.usedAt = simulation.Now
 		before := instance.cursor.Position().Era
 		if err := instance.cursor.Accept(era); err != nil {
 			instance.end(err, before)
@@ -108,11 +135,9 @@
 	})
 }
 
-func (instance *instance) watch(read Read, deadline time.Time) {
+// watch waits for a change until the time; the call ends at the deadline.
+func (instance *instance) watch(read Read, until, deadline time.Time) {
 	simulation := instance.simulation
-	if instance.failsWithoutStore() {
-		return
-	}
 	era, revision := simulation.era, simulation.state.revision
 	if read.After > revision {
 		instance.later(hop, func() { instance.end(ErrHistoryLost, 0) })
@@ -120,11 +145,14 @@
 	}
 	changes := slices.Clone(simulation.state.events)
 	changes = slices.DeleteFunc(changes, func(change record) bool { return change.revision <= read.After })
-	if len(changes) == 0 && simulation.Now.Before(deadline) {
-		instance.later(pollPeriod, func() { instance.watch(read, deadline) })
+	if len(changes) == 0 && simulation.Now.Before(until) {
+		instance.later(pollPeriod, func() {
+			instance.awaitStore(deadline, func() { instance.watch(read, until, deadline) })
+		})
 		return
 	}
 	instance.later(simulation.draw(simulation.answerTime), func() {
+		instance.conn.usedAt = simulation.Now
 		before := instance.cursor.Position().Era
 		if err := instance.cursor.Accept(era); err != nil {
 			instance.end(err, before)
@@ -136,10 +164,11 @@
 	})
 }
 
-func (instance *instance) readPeer(reader *instanceProcess) {
+// readPeer asks the reader for its changes, which answers at the first one or when the time has come.
+func (instance *instance) readPeer(reader *instanceProcess, until time.Time) {
 	simulation := instance.simulation
 	if simulation.Now.Before(instance.apartUntil) || simulation.Now.Before(reader.apartUntil) || !reader.offSince.IsZero() {
-		instance.later(800*time.Millisecond, func() {
+		instance.later(until.Add(PeerTimeout).Sub(simulation.Now), func() {
 			instance.cursor.FailPeer(simulation.Now)
 			instance.read()
 		})
@@ -150,6 +179,10 @@
 		serial = instance.cursor.Peer().Serial
 	}
 	delta := reader.catalogue.Since(simulation.Now, serial)
+	if delta.Serial == serial && simulation.Now.Before(until) {
+		instance.later(pollPeriod, func() { instance.readPeer(reader, until) })
+		return
+	}
 	reply := PeerReply{Peer: Peer{reader.process, delta.Serial}, Whole: serial == 0, Position: reader.published,
 		Age: simulation.Now.Sub(reader.contact), SupportsPending: delta.SupportsPending}
 	instance.later(simulation.draw(simulation.peerTime), func() {
@@ -162,7 +195,7 @@
 		instance.checkEra(before)
 		instance.catalogue.StoreAnswered(simulation.Now, reply.Age)
 		instance.catalogue.Apply(simulation.Now, delta, reply.Whole)
-		instance.succeed(pause+100*time.Millisecond, true, reply.Age)
+		instance.succeed(pause, true, reply.Age)
 	})
 }
 
--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -20,7 +20,6 @@
 
 const (
 	tickInterval = 250 * time.Millisecond // between two calls of Catalogue.Tick
-	callTimeout  = time.Second            // of one call, in addition to the server-side wait of a watch
 	// ignoredLinesPerSecond limits the log lines about registrations that are ignored, which another program may write at any rate.
 	ignoredLinesPerSecond = 10
 )
--- a/shallotreel/feed/feed_test.go
+++ b/shallotreel/feed/feed_test.go
@@ -64,7 +64,7 @@
 	}))
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	feed := New(ctx, system, Config{Store: platform.NewStore(store, time.Second), Peers: peers,
+	feed := New(ctx, system, Config{Store: platform.NewStore(store), Peers: peers,
 		Incarnation: lastIncarnation.Add(1), Log: log, OnReady: func() {}})
 	address := freeAddress(t)
 	server, err := peerrpc.Serve(address, []peerrpc.Service{cataloguesync.NewService(feed)})
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	peerPollTimeout   = 500 * time.Millisecond // for which a peer may delay its answer while nothing changes
-	peerTimeout       = 300 * time.Millisecond // of a call to a peer, in addition to peerPollTimeout
-	watchCallTimeout  = cursor.WatchTimeout + callTimeout
+	peerHold          = cursor.PeerHold
+	peerTimeout       = cursor.PeerTimeout
+	callTimeout       = cursor.CallTimeout
+	watchCallTimeout  = cursor.WatchTimeout + cursor.CallTimeout
 	anyAge            = math.MaxInt64          // after a failed call to the store a stale catalogue is better than none
 	bootstrapInterval = 100 * time.Millisecond // between two attempts to load the first configuration from a serving peer
 	actorTimeout      = time.Second            // of a request to the feed's own actor
@@ -111,7 +112,7 @@
 		return
 	}
 	era, last := cursor.Position().Era, cursor.Peer()
-	query := cataloguesync.Query{Process: last.Process, Serial: last.Serial, Hold: peerPollTimeout,
+	query := cataloguesync.Query{Process: last.Process, Serial: last.Serial, Hold: peerHold,
 		Leaving: feed.takeLeaving()}
 	reply, err := client.Fetch(peer, query, peerTimeout)
 	var pause time.Duration
--- a/shallotreel/feed/serve.go
+++ b/shallotreel/feed/serve.go
@@ -38,7 +38,7 @@
 	if query.Process != feed.incarnation {
 		serial = 0
 	}
-	deadline := time.NewTimer(min(query.Hold, peerPollTimeout))
+	deadline := time.NewTimer(min(query.Hold, peerHold))
 	defer deadline.Stop()
 	for {
 		changed := feed.nextChange()
--- a/shallotreel/front/front.go
+++ b/shallotreel/front/front.go
@@ -40,13 +40,12 @@
 )
 
 const (
-	sweepPeriod      = time.Second
-	metricsPeriod    = time.Second
-	crashPeriod      = 250 * time.Millisecond // between two searches for targets that ended silently
-	storeDialTimeout = 500 * time.Millisecond
-	thousandths      = 1000            // of a core
-	addressTTL       = 5 * time.Second // for which callers keep an address, unless the settings limit it further
-	staleTTLFactor   = 3               // callers may keep using an address for this multiple of addressTTL
+	sweepPeriod    = time.Second
+	metricsPeriod  = time.Second
+	crashPeriod    = 250 * time.Millisecond // between two searches for targets that ended silently
+	thousandths    = 1000                   // of a core
+	addressTTL     = 5 * time.Second        // for which callers keep an address, unless the settings limit it further
+	staleTTLFactor = 3                      // callers may keep using an address for this multiple of addressTTL
 )
 
 // Front is a running instance. Use Start to create one.
@@ -142,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	front.feed = feed.New(front.ctx, front.system, feed.Config{Store: platform.NewStore(config.StoreAddress, storeDialTimeout),
+	front.feed = feed.New(front.ctx, front.system, feed.Config{Store: platform.NewStore(config.StoreAddress),
 		Peers: front.roster, Incarnation: front.self.Incarnation, Log: front.log, OnReady: front.markConfigured,
 		OnTargetChange: func(change catalogue.Change) { front.crashes.TargetChanged(time.Now(), change) }})
 	front.admission = ingress.NewAdmission(front.log, front.scope, random())
