Cursor: one timeout on a connection that may have gone silent is no outage, so removals aren't held back for it

What callers saw (in virtual time): requests to a target 4 s after its registration had ended, at instances that count as undisturbed again after their connections to the store had gone silent.

Cause: a watch on a connection that goes silent ends by its timeout after 2.3 s. The reader took that for an outage of the store, in which registrations of running targets expire, and held back the removals of that time for 2.3 s more: 4.7 s in all.

Ruled out: the next read comes late (it follows after .1 s, on a new connection).

Change: a timeout on a connection that an earlier call has used is a sign of an outage only with the next failure. An outage that ends before that spans one watch at most, 2.4 s, too short for the registration of a running target to expire (catalogue.MinExpiry; a test holds the two together). A timeout on a new connection, and two failures in a row, count as before.

--- a/reel/catalogue/removal.go
+++ b/reel/catalogue/removal.go
@@ -9,10 +9,10 @@
 	reportTimeout         = 2 * time.Second
 )
 
-// minExpiry is the least time after the begin of an outage in which the registration of a running target can expire: three heartbeat
+// MinExpiry is the least time after the begin of an outage in which the registration of a running target can expire: three heartbeat
 // intervals of 1.2 s after its last report, which it made at most one interval before the outage. Peers leave a reader that has not
 // read the store for as long.
-const minExpiry = 2400 * time.Millisecond
+const MinExpiry = 2400 * time.Millisecond
 
 // PendingRemoval tells another instance that a target of the delta is not registered any more, and stays usable only because its
 // registration may have expired during an outage of the store.
@@ -25,10 +25,10 @@
 
 // Remove applies the end of a registration and reports whether the target was registered. While the store is
 // recovering, the registration of a running target may have expired; the target then stays usable until
-// reregistrationTimeout after the recovery. It cannot have expired before minExpiry after the store answered last.
+// reregistrationTimeout after the recovery. It cannot have expired before MinExpiry after the store answered last.
 func (catalogue *Catalogue) Remove(now time.Time, id string) (Change, bool) {
 	unusableAt := now
-	if catalogue.StoreRecovering(now) && now.Sub(catalogue.storeLostAt) >= minExpiry {
+	if catalogue.StoreRecovering(now) && now.Sub(catalogue.storeLostAt) >= MinExpiry {
 		unusableAt = catalogue.storeRecoveredAt.Add(reregistrationTimeout)
 	}
 	return catalogue.remove(now, id, unusableAt)
--- a/reel/cursor/cursor.go
+++ b/reel/cursor/cursor.go
@@ -129,7 +129,9 @@
 }
 
 // Fail records a failed read of the store and returns how long to wait before the next one. It reports whether the failure is the
-// sign of an outage; a single call that ends early is none, since the store may cut a watch at any time.
+// sign of an outage. A single call that ends early is none, since the store may cut a watch at any time. Neither is one without an answer on a
+// connection that an earlier call has used, which may have gone silent: an outage that ends before the next call is too short for the
+// registration of a running target to expire.
 func (cursor *Cursor) Fail(err error) (pause time.Duration, outage bool) {
 	switch {
 	case errors.Is(err, ErrRestored):
@@ -139,9 +141,19 @@
 		return 0, false
 	}
 	cursor.failures++
+	return minBackoff << min(cursor.failures-1, doublings), cursor.failures > 1 || isTimeout(err) && !isReused(err)
+}
+
+// isTimeout reports whether a call ended because there was no answer.
+func isTimeout(err error) bool {
 	var timeout interface{ Timeout() bool }
-	timedOut := errors.As(err, &timeout) && timeout.Timeout()
-	return minBackoff << min(cursor.failures-1, doublings), timedOut || cursor.failures > 1
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// isReused reports whether the call that failed went by a connection that an earlier one had used.
+func isReused(err error) bool {
+	var call interface{ ReusedConnection() bool }
+	return errors.As(err, &call) && call.ReusedConnection()
 }
 
 // ReadPeer checks the answer of a peer and records how far the peer has read. It returns how long to wait before the next
--- a/reel/cursor/cursor_test.go
+++ b/reel/cursor/cursor_test.go
@@ -125,6 +125,8 @@
 		{"a watch that is cut", []error{cut}, false},
 		{"watches that are cut one after the other", []error{cut, nil, cut, nil, cut}, false},
 		{"a call without an answer", []error{timeout}, true},
+		{"a call without an answer on a connection that may have gone silent", []error{reusedError{timeout}}, false},
+		{"the next call without an answer, too", []error{reusedError{timeout}, timeout}, true},
 		{"two failures in succession", []error{cut, cut}, true},
 		{"lost history", []error{cut, ErrHistoryLost}, false},
 	} {
--- a/reel/cursor/drain_test.go
+++ b/reel/cursor/drain_test.go
@@ -41,7 +41,7 @@
 // inTouch reports whether the instance has been undisturbed for stableTime.
 func (instance *instance) inTouch() bool {
 	now := instance.simulation.Now
-	disturbances := []time.Time{instance.startedAt, instance.cutUntil, instance.apartUntil}
+	disturbances := []time.Time{instance.startedAt, instance.cutUntil, instance.apartUntil, instance.simulation.silentAt}
 	return instance.offSince.IsZero() && !slices.ContainsFunc(disturbances, func(end time.Time) bool { return now.Sub(end) < stableTime })
 }
 
@@ -90,3 +90,20 @@
 	}
 	simulation.report(id)
 }
+
+// TestTargetsGoneWhileConnectionsAreSilent guards against targets that stay in use because connections to the store went silent, which
+// looks like an outage in which registrations of running targets expire.
+func TestTargetsGoneWhileConnectionsAreSilent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		simulation := newSimulation(t, 6, rapid.IntRange(1, 4).Draw(t, "instances"))
+		simulation.answerTime, simulation.peerTime = ordinaryAnswer, ordinaryAnswer
+		simulation.Run(stableTime + time.Second)
+		simulation.checkDrained()
+		for i := range rapid.IntRange(1, 3).Draw(t, "rounds") {
+			simulation.silence()
+			simulation.Run(time.Duration(rapid.IntRange(0, 6000).Draw(t, "ends after ms")) * time.Millisecond)
+			simulation.endTarget(fmt.Sprint("i-", i), rapid.Bool().Draw(t, "drains"))
+			simulation.Run(silentPeriod)
+		}
+	})
+}
--- a/reel/cursor/in_force_test.go
+++ b/reel/cursor/in_force_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"shallotreel.example/reel/catalogue"
 )
 
 const (
@@ -24,7 +26,7 @@
 // checkInForce checks periodically that a version is in force at all undisturbed instances InForceTime after its acknowledgement.
 func (simulation *simulation) checkInForce() {
 	for _, instance := range simulation.instances {
-		if !instance.inTouch() || simulation.Now.Sub(simulation.silentAt) < stableTime {
+		if !instance.inTouch() {
 			continue
 		}
 		if age := simulation.Now.Sub(simulation.configuredAt); instance.version < simulation.versions && age > InForceTime {
@@ -94,6 +96,11 @@
 			}
 		})
 	}
+	t.Run("an outage that one watch spans is too short for a registration to expire", func(t *testing.T) {
+		if longest := WatchTimeout + CallTimeout + minBackoff; longest > catalogue.MinExpiry {
+			t.Errorf("it takes up to %v, more than %v", longest, catalogue.MinExpiry)
+		}
+	})
 	t.Run("pauses between reads leave the connection open", func(t *testing.T) {
 		if longest := slices.Max([]time.Duration{watchInterval, peerPollInterval, minBackoff << doublings}); longest >= IdleTimeout {
 			t.Errorf("the longest pause is %v, which %v does not exceed", longest, IdleTimeout)
--- a/reel/cursor/simulated_instance_test.go
+++ b/reel/cursor/simulated_instance_test.go
@@ -9,9 +9,17 @@
 	"shallotreel.example/reel/catalogue"
 )
 
-// errNoAnswer is the timeout of a call.
+// errNoAnswer is the timeout of a call by a new connection.
 var errNoAnswer = context.DeadlineExceeded
 
+// errSilent is the timeout of a call by a connection that an earlier call has used.
+var errSilent = reusedError{errNoAnswer}
+
+type reusedError struct{ error }
+
+func (err reusedError) Unwrap() error          { return err.error }
+func (err reusedError) ReusedConnection() bool { return true }
+
 // instance is one process of shallotreel.
 type instance struct {
 	simulation *simulation
@@ -33,6 +41,7 @@
 // storeConn is the connection of an instance to the store, by which it makes one call after the other.
 type storeConn struct {
 	isOpen bool
+	reused bool // whether an earlier call has used it
 	usedAt time.Time
 	silent bool // whether nothing arrives any more, in either direction
 }
@@ -88,6 +97,7 @@
 	now := instance.simulation.Now
 	deadline := now.Add(timeout)
 	if instance.conn.isOpen && now.Sub(instance.conn.usedAt) < IdleTimeout {
+		instance.conn.reused = true
 		instance.later(hop, func() { instance.awaitStore(deadline, func() { run(deadline) }) })
 		return
 	}
@@ -103,8 +113,12 @@
 	now := instance.simulation.Now
 	switch {
 	case !now.Before(deadline):
+		err := error(errNoAnswer)
+		if instance.conn.reused {
+			err = errSilent
+		}
 		instance.conn = storeConn{}
-		instance.end(errNoAnswer, 0)
+		instance.end(err, 0)
 	case instance.conn.silent || now.Before(instance.cutUntil) || now.Before(instance.simulation.downUntil):
 		instance.later(pollPeriod, func() { instance.awaitStore(deadline, run) })
 	default:
