Catalogue: the newest state of a target by era and revision stands, so that one that is back is used

Cause: a watch tells again what a page had, the removal and then the registration. The removal took away the newer registration, and that was dropped as an older report, since its start and number were known. Nothing comes after it while only the number changes. The same way was open for a full catalogue of a peer, whose position is older than its content, and for a stale listing after one.

Ruled out: the entry is not on the page (it is: the target is used until the watch), a held back removal.

Change: targets and removals have the position of their state in the store, also on the wire. A removal, a registration or a listing that is older than what is known has no effect; within an era revisions decide alone. A full catalogue of a peer tells removals. Across eras starts and numbers decide as before; a report of a restored store that seems older than a removal is held for 5 s and used if the store keeps it. Builds that do not tell positions are read as before.

Before: TestPagesOfDifferentAge fails ('the instance uses [in-0 in-1 zz], want [in-0 ... in-5 zz]', and with processes whose clocks are behind '[zz]').

--- a/reel/catalogue/catalogue.go
+++ b/reel/catalogue/catalogue.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"shallotreel.example/reel/storepos"
 )
 
 // tombstoneTTL is how long the last sequence number of a removed target is kept, so that older reports are
@@ -24,6 +26,9 @@
 	// ColdLeft is how long the target was still cold at ColdAt, which is zero if it is unknown.
 	ColdLeft time.Duration
 	ColdAt   time.Time // when the instance that reads the store read the registration, by its clock
+	// Position is the newest state of the store of which is known that it has this registration, or that the registration had ended by then. It
+	// is zero if an instance has told it whose build does not know positions.
+	Position storepos.Position
 }
 
 // Change is a change to one target in the catalogue.
@@ -69,6 +74,7 @@
 	unusableAt time.Time // when a removed target stops taking work
 	listed     bool      // whether the listing in progress contains the target
 	serial     uint64    // serial of the catalogue at the latest change
+	held       *held     // report that a restored store has, nil if there is none
 }
 
 // New returns an empty catalogue.
@@ -88,8 +94,8 @@
 	return true
 }
 
-// Register applies a target's report of itself and reports whether that changed the target. A report from an older
-// process, or an older report of the same process, is dropped.
+// Register applies a target's report of itself and reports whether that changed the target. A report that is older than what is known is
+// dropped.
 func (catalogue *Catalogue) Register(target Target) (Change, bool) {
 	existing, ok := catalogue.entries[target.ID]
 	if !ok {
@@ -99,14 +105,20 @@
 		return Change{Target: target.ID, Kind: "registered", Registration: target}, true
 	}
 	existing.listed = true
-	sameProcess := target.Born == existing.Born
-	if target.Born < existing.Born || sameProcess && target.Seq < existing.Seq {
+	if existing.outdates(target) {
+		existing.hold(target)
 		return Change{Target: target.ID, Kind: "dropped an older report"}, false
 	}
-	wasRemoved := !existing.removedAt.IsZero()
-	if wasRemoved && sameProcess && target.Seq == existing.Seq {
-		return Change{Target: target.ID, Kind: "dropped an older report"}, false
+	return catalogue.replace(existing, target)
+}
+
+// replace makes the report that of the entry, and reports whether that changed the target.
+func (catalogue *Catalogue) replace(existing *entry, target Target) (Change, bool) {
+	existing.held = nil
+	if !target.Position.IsKnown() {
+		target.Position = existing.Position
 	}
+	sameProcess, wasRemoved := target.Born == existing.Born, existing.isRemoved()
 	// A process that is leaving stays so, whatever it reports later.
 	target.Leaving = target.Leaving || sameProcess && existing.Leaving
 	altered := wasRemoved || existing.Leaving != target.Leaving || existing.Address != target.Address ||
@@ -133,6 +145,22 @@
 	return change, true
 }
 
+// outdates reports whether the report is older than what is known of the target, also of its removal. Within an era of the store the
+// revisions tell; a report that lacks the start of the process is another program's. Otherwise the starts of the processes and the numbers of
+// the reports do: a store that was restored returns older reports, and some builds do not tell positions.
+func (entry *entry) outdates(target Target) bool {
+	if target.Position.IsSameEra(entry.Position) && target.Position != entry.Position {
+		return entry.Position.IsAfter(target.Position) || target.Born == 0 && entry.Born > 0
+	}
+	switch {
+	case target.Born != entry.Born:
+		return target.Born < entry.Born
+	case entry.isRemoved():
+		return target.Seq <= entry.Seq
+	}
+	return target.Seq < entry.Seq
+}
+
 // Leave records that a process of a target said itself that it leaves, and reports whether that changed the target. It
 // stays so whatever its registration says later.
 func (catalogue *Catalogue) Leave(id string, born int64) (Change, bool) {
@@ -146,7 +174,7 @@
 }
 
 // BeginListing starts a full listing; EndListing removes the targets not registered in between, and EndEvacuationListing ends
-// the evacuations that it lacks.
+// the evacuations that it lacks. Both are told the oldest state of the store that a part of the listing is of.
 func (catalogue *Catalogue) BeginListing() {
 	catalogue.beginEvacuationListing()
 	for _, entry := range catalogue.entries {
@@ -154,12 +182,13 @@
 	}
 }
 
-// EndListing removes the targets that were not registered since BeginListing, and returns the changes.
-func (catalogue *Catalogue) EndListing(now time.Time) []Change {
+// EndListing removes the targets that were not registered since BeginListing, and returns the changes. Targets of which something newer is
+// known than the position of the listing stay; it is zero if it is not known.
+func (catalogue *Catalogue) EndListing(now time.Time, position storepos.Position) []Change {
 	var changes []Change
 	for _, id := range catalogue.ids() {
 		if entry := catalogue.entries[id]; !entry.listed {
-			if change, ok := catalogue.Remove(now, id); ok {
+			if change, ok := catalogue.Remove(now, Removal{id, position}); ok {
 				changes = append(changes, change)
 			}
 		}
@@ -167,15 +196,18 @@
 	return changes
 }
 
-// Tick removes targets whose registration expired and that did not register again in time, deletes old tombstones, and
-// returns the changes. It ends evacuations that were retained for long enough.
+// Tick removes targets whose registration expired and that did not register again in time, deletes old tombstones, applies reports of a
+// restored store that were held, and returns the changes. It ends evacuations that were retained for long enough.
 func (catalogue *Catalogue) Tick(now time.Time) []Change {
 	catalogue.tickEvacuations(now)
 	var changes []Change
 	for _, id := range catalogue.ids() {
 		entry := catalogue.entries[id]
+		if change, ok := catalogue.tickHeld(now, entry); ok {
+			changes = append(changes, change)
+		}
 		switch {
-		case entry.removedAt.IsZero():
+		case !entry.isRemoved():
 		case now.Sub(entry.removedAt) >= tombstoneTTL:
 			delete(catalogue.entries, id)
 		case entry.isPending() && !now.Before(entry.unusableAt):
--- a/reel/catalogue/catalogue_test.go
+++ b/reel/catalogue/catalogue_test.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"shallotreel.example/reel/storepos"
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -33,7 +35,7 @@
 	t.Run("takes effect immediately while the store answers", func(t *testing.T) {
 		catalogue := New()
 		catalogue.Register(target("one", 1))
-		catalogue.Remove(at(100), "one")
+		catalogue.Remove(at(100), Removal{ID: "one"})
 		assertUsable(t, catalogue)
 	})
 	t.Run("is delayed while the store is recovering", func(t *testing.T) {
@@ -41,7 +43,7 @@
 		catalogue.Register(target("one", 1))
 		catalogue.StoreFailed()
 		catalogue.StoreAnswered(at(5000), 0)
-		catalogue.Remove(at(5000), "one")
+		catalogue.Remove(at(5000), Removal{ID: "one"})
 		assertUsable(t, catalogue, "one")
 		catalogue.Tick(at(5000 + 2300))
 		assertUsable(t, catalogue)
@@ -52,7 +54,7 @@
 		catalogue.StoreAnswered(at(100), 0)
 		catalogue.StoreFailed()
 		catalogue.StoreAnswered(at(600), 0)
-		catalogue.Remove(at(2000), "one")
+		catalogue.Remove(at(2000), Removal{ID: "one"})
 		assertUsable(t, catalogue)
 	})
 	t.Run("is delayed after short outages that make up a long one", func(t *testing.T) {
@@ -63,7 +65,7 @@
 			catalogue.StoreFailed()
 		}
 		catalogue.StoreAnswered(at(3000), 0)
-		catalogue.Remove(at(3000), "one")
+		catalogue.Remove(at(3000), Removal{ID: "one"})
 		assertUsable(t, catalogue, "one")
 	})
 	t.Run("is delayed from the recovery, not from the time of the removal", func(t *testing.T) {
@@ -71,7 +73,7 @@
 		catalogue.Register(target("one", 1))
 		catalogue.StoreFailed()
 		catalogue.StoreAnswered(at(5000), 0)
-		catalogue.Remove(at(7120), "one")
+		catalogue.Remove(at(7120), Removal{ID: "one"})
 		catalogue.Tick(at(7300))
 		assertUsable(t, catalogue)
 	})
@@ -80,7 +82,7 @@
 		catalogue.Register(target("one", 1))
 		catalogue.StoreFailed()
 		catalogue.StoreAnswered(at(5000), 0)
-		catalogue.Remove(at(5000), "one")
+		catalogue.Remove(at(5000), Removal{ID: "one"})
 		catalogue.Register(target("one", 2))
 		catalogue.Tick(at(9000))
 		assertUsable(t, catalogue, "one")
@@ -101,7 +103,7 @@
 	t.Run("an older report does not restore a removed target", func(t *testing.T) {
 		catalogue := New()
 		catalogue.Register(target("one", 4))
-		catalogue.Remove(at(10), "one")
+		catalogue.Remove(at(10), Removal{ID: "one"})
 		catalogue.Register(target("one", 4))
 		assertUsable(t, catalogue)
 	})
@@ -121,7 +123,7 @@
 		catalogue.Register(target("two", 1))
 		catalogue.BeginListing()
 		catalogue.Register(target("two", 2))
-		catalogue.EndListing(at(10))
+		catalogue.EndListing(at(10), storepos.Position{})
 		assertUsable(t, catalogue, "two")
 	})
 }
@@ -182,7 +184,7 @@
 				catalogue.StoreRestored(now)
 			}
 			catalogue.BeginListing()
-			catalogue.EndListing(now)
+			catalogue.EndListing(now, storepos.Position{})
 			catalogue.Tick(now.Add(test.after))
 			if got := len(catalogue.View().Targets("desk")); got != test.want {
 				t.Errorf("%d targets are usable, want %d", got, test.want)
--- a/reel/catalogue/cold_test.go
+++ b/reel/catalogue/cold_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"shallotreel.example/reel/storepos"
 )
 
 // TestColdPeriodReachesPeers guards against a target that turns cold unnoticed, and against a change at each heartbeat of a target
@@ -42,7 +44,7 @@
 			if changes != test.want {
 				t.Errorf("%d changes, want %d", changes, test.want)
 			}
-			peer.Apply(at(0), reader.Since(at(0), 0), true)
+			peer.Apply(at(0), reader.Since(at(0), 0), true, storepos.Position{})
 			if got := peer.View().Targets("menus")[0].ColdUntil(); !want.IsZero() && got.Sub(want).Abs() > coldTolerance {
 				t.Errorf("the peer believes that it is cold until %v, want %v", got, want)
 			}
--- a/reel/catalogue/property_test.go
+++ b/reel/catalogue/property_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"shallotreel.example/reel/storepos"
 )
 
 // model holds a catalogue that reads the store, a peer that follows it by deltas, and the state for the checks of both.
@@ -41,7 +43,7 @@
 func (model *model) sync() {
 	delta := model.reader.Since(model.now, model.serial)
 	model.peer.StoreAnswered(model.now, 0)
-	model.peer.Apply(model.now, delta, model.serial == 0)
+	model.peer.Apply(model.now, delta, model.serial == 0, storepos.Position{})
 	model.serial = delta.Serial
 }
 
@@ -85,7 +87,7 @@
 				model.sequences[id] = 0
 				model.report(id, false)
 			case "remove":
-				model.reader.Remove(model.now, id)
+				model.reader.Remove(model.now, Removal{ID: id})
 			case "store failure":
 				model.reader.StoreFailed()
 			case "store answer":
@@ -107,7 +109,7 @@
 			case "listing":
 				model.reader.BeginListing()
 				model.report(id, false)
-				model.reader.EndListing(model.now)
+				model.reader.EndListing(model.now, storepos.Position{})
 			}
 			if configuration := model.reader.Configuration(); configuration != nil {
 				if configuration.Version < newest {
--- a/reel/catalogue/removal.go
+++ b/reel/catalogue/removal.go
@@ -1,6 +1,10 @@
 package catalogue
 
-import "time"
+import (
+	"time"
+
+	"shallotreel.example/reel/storepos"
+)
 
 // reregistrationTimeout is how long a running target may take to register again after the store recovers. Targets
 // are required to do so within reportTimeout; the rest is for reading the registration.
@@ -14,30 +18,44 @@
 // read the store for as long.
 const MinExpiry = 2400 * time.Millisecond
 
+// Removal is the end of a registration.
+type Removal struct {
+	ID string
+	// Position is that of the deletion in the store, or of a listing that lacks the target, and zero if it is not known.
+	Position storepos.Position
+}
+
 // PendingRemoval tells another instance that a target of the delta is not registered any more, and stays usable only because its
 // registration may have expired during an outage of the store.
 type PendingRemoval struct {
-	ID   string
-	Born int64 // of the process whose registration ended
-	Seq  uint64
-	Left time.Duration // until the target is not usable any more
+	ID       string
+	Born     int64 // of the process whose registration ended
+	Seq      uint64
+	Left     time.Duration     // until the target is not usable any more
+	Position storepos.Position // as of a Removal
 }
 
 // Remove applies the end of a registration and reports whether the target was registered. While the store is
 // recovering, the registration of a running target may have expired; the target then stays usable until
 // reregistrationTimeout after the recovery. It cannot have expired before MinExpiry after the store answered last.
-func (catalogue *Catalogue) Remove(now time.Time, id string) (Change, bool) {
+// A removal that is older than what is known has no effect.
+func (catalogue *Catalogue) Remove(now time.Time, removal Removal) (Change, bool) {
 	unusableAt := now
 	if catalogue.StoreRecovering(now) && now.Sub(catalogue.storeLostAt) >= MinExpiry {
 		unusableAt = catalogue.storeRecoveredAt.Add(reregistrationTimeout)
 	}
-	return catalogue.remove(now, id, unusableAt)
+	return catalogue.remove(now, removal, unusableAt)
 }
 
 // remove applies the end of a registration of a target that stays usable until the given time.
-func (catalogue *Catalogue) remove(now time.Time, id string, unusableAt time.Time) (Change, bool) {
-	existing, ok := catalogue.entries[id]
-	if !ok || !existing.removedAt.IsZero() {
+func (catalogue *Catalogue) remove(now time.Time, removal Removal, unusableAt time.Time) (Change, bool) {
+	existing, ok := catalogue.entries[removal.ID]
+	if !ok || existing.Position.IsAfter(removal.Position) {
+		return Change{}, false
+	}
+	existing.Position = existing.Position.Latest(removal.Position)
+	catalogue.dropHeld(existing)
+	if existing.isRemoved() {
 		return Change{}, false
 	}
 	existing.removedAt, existing.unusableAt = now, unusableAt
@@ -46,14 +64,14 @@
 		kind = "registration expired while the store was recovering"
 	}
 	catalogue.changed(existing)
-	return Change{Target: id, Kind: kind, Ended: !existing.Leaving && !existing.isPending()}, true
+	return Change{Target: removal.ID, Kind: kind, Ended: !existing.Leaving && !existing.isPending()}, true
 }
 
 // removePending applies a removal that another instance holds back, unless this instance knows a newer registration. A removal that
 // is pending here ends at the earlier of the two times.
 func (catalogue *Catalogue) removePending(now time.Time, pending PendingRemoval) (Change, bool) {
 	existing, ok := catalogue.entries[pending.ID]
-	if !ok || existing.Born != pending.Born || existing.Seq > pending.Seq {
+	if !ok || existing.isNewerThan(pending) {
 		return Change{}, false
 	}
 	unusableAt := now.Add(min(pending.Left, reregistrationTimeout))
@@ -61,21 +79,48 @@
 		existing.unusableAt = unusableAt
 		catalogue.changed(existing)
 	}
-	return catalogue.remove(now, pending.ID, unusableAt)
+	return catalogue.remove(now, Removal{pending.ID, pending.Position}, unusableAt)
 }
 
-// hasRemoved reports whether this instance knows that the registration of the target's process, or of a later one, has ended.
+// removeListed applies the end of a registration that a full catalogue of another instance tells. That is its own state of the target, so that
+// nothing follows from the position of the catalogue.
+func (catalogue *Catalogue) removeListed(now time.Time, removal Removal) (Change, bool) {
+	change, ok := catalogue.Remove(now, removal)
+	if existing, known := catalogue.entries[removal.ID]; known {
+		existing.listed = true
+	}
+	return change, ok
+}
+
+// isNewerThan reports whether something newer is known of the target than the removal.
+func (entry *entry) isNewerThan(pending PendingRemoval) bool {
+	if entry.Position.IsSameEra(pending.Position) {
+		return entry.Position.IsAfter(pending.Position)
+	}
+	return entry.Born != pending.Born || entry.Seq > pending.Seq
+}
+
+// hasRemoved reports whether this instance knows the end of the registration, which another one holds back.
 func (catalogue *Catalogue) hasRemoved(target Target) bool {
 	existing, ok := catalogue.entries[target.ID]
-	return ok && !existing.removedAt.IsZero() && existing.Born >= target.Born
+	if !ok || !existing.isRemoved() {
+		return false
+	}
+	if existing.Position.IsSameEra(target.Position) {
+		return !target.Position.IsAfter(existing.Position)
+	}
+	return existing.Born >= target.Born
 }
 
 // finishRemoval applies the end of a registration that another instance does not hold back any more.
-func (catalogue *Catalogue) finishRemoval(now time.Time, id string) (Change, bool) {
-	if existing, ok := catalogue.entries[id]; ok && existing.isPending() {
+func (catalogue *Catalogue) finishRemoval(now time.Time, removal Removal) (Change, bool) {
+	existing, ok := catalogue.entries[removal.ID]
+	if ok && existing.isPending() && !existing.Position.IsAfter(removal.Position) {
+		existing.Position = existing.Position.Latest(removal.Position)
+		catalogue.dropHeld(existing)
 		return catalogue.endPending(existing), true
 	}
-	return catalogue.remove(now, id, now)
+	return catalogue.remove(now, removal, now)
 }
 
 // endPending ends the use of a target whose removal was held back.
@@ -85,11 +130,14 @@
 	return Change{Target: entry.ID, Kind: "removed after its registration expired", Ended: !entry.Leaving}
 }
 
+// isRemoved reports whether the registration has ended.
+func (entry *entry) isRemoved() bool { return !entry.removedAt.IsZero() }
+
 // isPending reports whether the registration has ended and the target stays usable for some time.
 func (entry *entry) isPending() bool { return entry.unusableAt.After(entry.removedAt) }
 
 // presumedAlive reports whether the target is registered, or may be alive although its registration expired.
-func (entry *entry) presumedAlive() bool { return entry.removedAt.IsZero() || entry.isPending() }
+func (entry *entry) presumedAlive() bool { return !entry.isRemoved() || entry.isPending() }
 
 // StoreFailed records that a call to the store failed or timed out. An outage that begins before all running targets have reported again
 // after the one before continues it.
--- a/reel/cursor/cursor.go
+++ b/reel/cursor/cursor.go
@@ -56,6 +56,7 @@
 // Cursor records how far an instance has read. It is not safe for concurrent use.
 type Cursor struct {
 	position    Position // newest state that was read
+	listing     uint64   // revision of the first page of the full read in progress
 	listed      bool     // whether a full read of this era has succeeded
 	stale       bool     // whether the only read so far is a stale one
 	requireNew  bool     // whether the next full read must not be stale
@@ -109,10 +110,18 @@
 	cursor.listed, cursor.stale, cursor.requireNew = false, false, true
 }
 
-// ReadAll records that all keys were read, and returns how long to wait before the next read. The changes after the
-// revision may have been read in part.
-func (cursor *Cursor) ReadAll(revision uint64, allowedStale bool) time.Duration {
-	cursor.position.Revision = revision
+// ReadPage records that a page of a full read was read at the revision, and returns the position of the read: that of the first page.
+func (cursor *Cursor) ReadPage(isFirst bool, revision uint64) Position {
+	if isFirst {
+		cursor.listing = revision
+	}
+	return Position{Era: cursor.position.Era, Revision: cursor.listing}
+}
+
+// ReadAll records that all pages were read, and returns how long to wait before the next read. The changes after the first page may have been
+// read in part.
+func (cursor *Cursor) ReadAll(allowedStale bool) time.Duration {
+	cursor.position.Revision = cursor.listing
 	cursor.listed, cursor.stale = true, allowedStale
 	if allowedStale {
 		return 0 // the next watch returns the changes since then
--- a/reel/cursor/cursor_test.go
+++ b/reel/cursor/cursor_test.go
@@ -29,7 +29,8 @@
 			if err := cursor.Accept(3); err != nil {
 				t.Fatal(err)
 			}
-			cursor.ReadAll(9, false)
+			cursor.ReadPage(true, 9)
+			cursor.ReadAll(false)
 			if err := cursor.Accept(test.era); !errors.Is(err, test.err) {
 				t.Errorf("got error %v, want %v", err, test.err)
 			}
@@ -89,7 +90,8 @@
 		if next := cursor.Next(start, true); next != test.next {
 			t.Errorf("the next read after a peer that tells them (%v) is %+v, want %+v", test.supports, next, test.next)
 		}
-		cursor.ReadAll(12, false)
+		cursor.ReadPage(true, 12)
+		cursor.ReadAll(false)
 		if next, want := cursor.Next(start, true), (Read{After: 12, Wait: WatchTimeout}); next != want {
 			t.Errorf("the next read after a full one is %+v, want %+v", next, want)
 		}
--- a/reel/cursor/fleet_test.go
+++ b/reel/cursor/fleet_test.go
@@ -23,12 +23,14 @@
 	beat        = 1200 * time.Millisecond // between two reports of a target
 	hop         = 4 * time.Millisecond    // of a message
 	pollPeriod  = 20 * time.Millisecond   // of a watch that waits for a change
+	replicaLag  = 3 * time.Second         // of the oldest replica of the store
 	slowAnswer  = 300 * time.Millisecond
 	slowPeer    = 200 * time.Millisecond
 	// electionTime is how long an instance is off before another one reads the store for the others.
 	electionTime = time.Second
 	newsTime     = 150 * time.Millisecond // after which the others know that an instance stops
 	operator     = "configuration"        // key
+	firstBorn    = 10_000                 // more than there are processes of targets in a story
 )
 
 // record is the value of a key: a registration, or the version of the configuration.
@@ -56,6 +58,8 @@
 	state        copied
 	copies       []copied
 	downUntil    time.Time
+	pageSize     int                         // keys in one page of a listing
+	beatsChange  bool                        // whether a report that changes nothing but its number changes the entry
 	answerTime   time.Duration               // longest time for an answer of the store
 	peerTime     time.Duration               // longest time for an answer of a peer
 	versions     uint64                      // newest version of the configuration that was acknowledged
@@ -104,7 +108,9 @@
 		}
 		target.Seq++
 		simulation.targets[id] = target
-		return record{key: id, target: target}, true
+		item, listed := simulation.state.items[id]
+		item.target.Seq = target.Seq
+		return record{key: id, target: target}, simulation.beatsChange || !listed || item.target != target
 	})
 }
 
@@ -138,6 +144,15 @@
 	simulation.Schedule(copyPeriod, simulation.copyPeriodically)
 }
 
+// replica returns the state of the store that a page is read from: the current one, or one that is up to replicaLag old.
+func (simulation *simulation) replica(allowStale bool) copied {
+	copies := simulation.copies[max(0, len(simulation.copies)-int(replicaLag/copyPeriod)):]
+	if choice := simulation.random.IntN(len(copies) + 1); allowStale && choice < len(copies) {
+		return copies[choice]
+	}
+	return simulation.state
+}
+
 // restore takes the store down and brings it back from a copy. What it has lost is written again.
 func (simulation *simulation) restore(down, age time.Duration) {
 	saved := simulation.copies[0]
@@ -223,8 +238,20 @@
 
 // newSimulation returns a simulation that begins with the targets and instances.
 func newSimulation(t *rapid.T, targets, instances int) *simulation {
-	simulation := &simulation{random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), Clock: virtualtime.Clock{Now: start}, era: 1,
-		state: copied{items: map[string]record{}}, targets: map[string]catalogue.Target{}, gone: map[string]time.Time{}, fail: t.Fatalf, answerTime: slowAnswer, peerTime: slowPeer}
+	simulation := &simulation{
+		Clock:       virtualtime.Clock{Now: start},
+		random:      rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+		era:         1,
+		born:        firstBorn / 2,
+		state:       copied{items: map[string]record{}},
+		pageSize:    1 << 10,
+		beatsChange: rapid.Bool().Draw(t, "beats change"),
+		targets:     map[string]catalogue.Target{},
+		gone:        map[string]time.Time{},
+		fail:        t.Fatalf,
+		answerTime:  slowAnswer,
+		peerTime:    slowPeer,
+	}
 	simulation.configure()
 	for i := range targets {
 		simulation.startTarget(fmt.Sprint("i-", i))
--- a/reel/cursor/simulated_instance_test.go
+++ b/reel/cursor/simulated_instance_test.go
@@ -86,7 +86,7 @@
 	case next.Peer:
 		instance.later(hop, func() { instance.readPeer(reader, simulation.Now.Add(PeerHold)) })
 	case next.Whole:
-		instance.call(CallTimeout, func(time.Time) { instance.readAll(next) })
+		instance.call(CallTimeout, func(time.Time) { instance.readAll(next, "") })
 	default:
 		instance.call(next.Wait+CallTimeout, func(deadline time.Time) { instance.watch(next, simulation.Now.Add(next.Wait), deadline) })
 	}
@@ -126,13 +126,19 @@
 	}
 }
 
-func (instance *instance) readAll(read Read) {
+// readAll reads the page of keys after the given one, and those that follow. Each page that may be stale comes from a replica of its own.
+func (instance *instance) readAll(read Read, after string) {
 	simulation := instance.simulation
-	era, state := simulation.era, simulation.state
-	if last := len(simulation.copies) - 1; read.AllowStale && last >= 0 {
-		state = simulation.copies[last] // of the same era
+	era, state := simulation.era, simulation.replica(read.AllowStale)
+	keys := slices.Sorted(maps.Keys(state.items))
+	first, _ := slices.BinarySearch(keys, after+"\x00")
+	keys = keys[first:]
+	hasMore := len(keys) > simulation.pageSize
+	keys = keys[:min(simulation.pageSize, len(keys))]
+	var items []record
+	for _, key := range keys {
+		items = append(items, state.items[key])
 	}
-	items := slices.Collect(maps.Values(state.items))
 	instance.later(simulation.draw(simulation.answerTime), func() {
 		instance.conn.usedAt = simulation.Now
 		before := instance.cursor.Position().Era
@@ -141,10 +147,17 @@
 			return
 		}
 		instance.catalogue.StoreAnswered(simulation.Now, 0)
-		instance.catalogue.BeginListing()
-		instance.apply(items)
-		instance.catalogue.EndListing(simulation.Now)
-		pause := instance.cursor.ReadAll(state.revision, read.AllowStale)
+		if after == "" {
+			instance.catalogue.BeginListing()
+		}
+		instance.apply(era, items)
+		position := instance.cursor.ReadPage(after == "", state.revision)
+		if hasMore {
+			instance.call(CallTimeout, func(time.Time) { instance.readAll(read, keys[len(keys)-1]) })
+			return
+		}
+		instance.catalogue.EndListing(simulation.Now, position)
+		pause := instance.cursor.ReadAll(read.AllowStale)
 		instance.succeed(pause, !read.AllowStale, 0)
 	})
 }
@@ -173,7 +186,7 @@
 			return
 		}
 		instance.catalogue.StoreAnswered(simulation.Now, 0)
-		instance.apply(changes)
+		instance.apply(era, changes)
 		instance.succeed(instance.cursor.ReadChanges(revision), true, 0)
 	})
 }
@@ -208,7 +221,7 @@
 		}
 		instance.checkEra(before)
 		instance.catalogue.StoreAnswered(simulation.Now, reply.Age)
-		instance.catalogue.Apply(simulation.Now, delta, reply.Whole)
+		instance.catalogue.Apply(simulation.Now, delta, reply.Whole, reply.Position)
 		instance.succeed(pause, true, reply.Age)
 	})
 }
@@ -234,15 +247,18 @@
 	instance.later(pause, instance.read)
 }
 
-func (instance *instance) apply(records []record) {
+func (instance *instance) apply(era uint64, records []record) {
 	for _, record := range records {
+		position := Position{Era: era, Revision: record.revision}
 		switch {
 		case record.key == operator:
 			instance.catalogue.Configure(catalogue.NewConfiguration(record.version, nil, nil, catalogue.Limits{}))
 		case record.deleted:
-			instance.catalogue.Remove(instance.simulation.Now, record.key)
+			instance.catalogue.Remove(instance.simulation.Now, catalogue.Removal{ID: record.key, Position: position})
 		default:
-			instance.catalogue.Register(record.target)
+			target := record.target
+			target.Position = position
+			instance.catalogue.Register(target)
 		}
 	}
 }
--- a/shallotreel/cataloguesync/builds_test.go
+++ b/shallotreel/cataloguesync/builds_test.go
@@ -128,7 +128,7 @@
 	current.Evacuate(now, "a", cursor.Position{Era: 2, Revision: 11})
 	current.StoreFailed()
 	current.StoreAnswered(now, 0)
-	current.Remove(now, "one")
+	current.Remove(now, catalogue.Removal{ID: "one"})
 	var buffer bytes.Buffer
 	reply := Reply{Process: 7, Whole: true, Era: 2, Store: 12, Delta: current.Since(now, 0)}
 	if err := gob.NewEncoder(&buffer).Encode(reply); err != nil {
--- a/shallotreel/crashwatch/simulation_test.go
+++ b/shallotreel/crashwatch/simulation_test.go
@@ -198,7 +198,7 @@
 func (target *target) unregister() {
 	for _, instance := range target.simulation.instances {
 		instance.hear(func(now time.Time) []catalogue.Change {
-			change, changed := instance.catalogue.Remove(now, target.ID)
+			change, changed := instance.catalogue.Remove(now, catalogue.Removal{ID: target.ID})
 			if !changed {
 				return nil
 			}
--- a/shallotreel/feed/evacuation_test.go
+++ b/shallotreel/feed/evacuation_test.go
@@ -74,7 +74,7 @@
 // TestStartWithStaleListing guards against an instance that serves by a stale listing from before the evacuation.
 func TestStartWithStaleListing(t *testing.T) {
 	store := evacuable(t)
-	store.SetStale(store.Copy())
+	store.SetReplicas(store.Copy())
 	store.Evacuate("b", nil)
 	late := start(t, store.Address(), &fakePeers{})
 	waitFor(t, "the instance to be ready", late.ready.Load)
--- a/shallotreel/feed/feed.go
+++ b/shallotreel/feed/feed.go
@@ -59,7 +59,7 @@
 	listPage   struct {
 		response    platform.StoreResponse
 		first, last bool
-		position    cursor.Position // of the first page
+		position    cursor.Position // of the oldest page so far
 		allowStale  bool            // whether the listing may be seconds old
 	}
 	watchEvents        struct{ response platform.StoreResponse }
@@ -161,7 +161,7 @@
 		}
 		feed.apply(now, message.response)
 		if message.last {
-			feed.logChanges(feed.catalogue.EndListing(now)...)
+			feed.logChanges(feed.catalogue.EndListing(now, message.position)...)
 			feed.catalogue.EndEvacuationListing(now, message.position)
 			feed.startup.evacuationsKnown = feed.startup.evacuationsKnown || !message.allowStale
 		}
@@ -221,21 +221,21 @@
 // apply applies items that were read from the store to the catalogue. It ignores items of other kinds, and a deletion
 // of the configuration, after which the last configuration stays active.
 func (feed *Feed) apply(now time.Time, response platform.StoreResponse) {
-	era := response.Era
 	for _, item := range response.Items {
+		position := cursor.Position{Era: response.Era, Revision: item.Revision}
 		if id, ok := item.TargetID(); ok {
-			feed.applyTarget(now, id, item)
+			feed.applyTarget(now, id, item, position)
 		} else if dataCentre, ok := item.EvacuatedDataCentre(); ok {
-			feed.applyEvacuation(now, dataCentre, item, cursor.Position{Era: era, Revision: item.Revision})
+			feed.applyEvacuation(now, dataCentre, item, position)
 		} else if item.IsConfiguration() && !item.Deleted {
-			feed.applyConfiguration(item, cursor.Position{Era: era, Revision: item.Revision})
+			feed.applyConfiguration(item, position)
 		}
 	}
 }
 
-func (feed *Feed) applyTarget(now time.Time, id string, item platform.Item) {
+func (feed *Feed) applyTarget(now time.Time, id string, item platform.Item, position cursor.Position) {
 	if item.Deleted {
-		if change, ok := feed.catalogue.Remove(now, id); ok {
+		if change, ok := feed.catalogue.Remove(now, catalogue.Removal{ID: id, Position: position}); ok {
 			feed.logChanges(change)
 		}
 		return
@@ -248,7 +248,7 @@
 		feed.logIgnored(now, id, item.Revision, err)
 		return
 	}
-	target.ColdAt = now
+	target.ColdAt, target.Position = now, position
 	if change, ok := feed.catalogue.Register(target); ok {
 		feed.logChanges(change)
 	}
@@ -301,7 +301,7 @@
 func (feed *Feed) applyPeerDelta(now time.Time, reply cataloguesync.Reply) {
 	feed.storeAnswered(now, reply.Age)
 	old := feed.catalogue.Configuration()
-	feed.logChanges(feed.catalogue.Apply(now, feed.checked(now, reply.Delta), reply.Whole)...)
+	feed.logChanges(feed.catalogue.Apply(now, feed.checked(now, reply.Delta), reply.Whole, reply.Position())...)
 	if feed.catalogue.Configuration() != old {
 		feed.logConfiguration(sourcePeer, reply.Position(), reply.Age)
 	}
@@ -313,7 +313,7 @@
 	if feed.catalogue.Configuration() != nil {
 		return
 	}
-	feed.logChanges(feed.catalogue.Apply(now, feed.checked(now, reply.Delta), reply.Whole)...)
+	feed.logChanges(feed.catalogue.Apply(now, feed.checked(now, reply.Delta), reply.Whole, reply.Position())...)
 	feed.logConfiguration(sourceStartup, reply.Position(), reply.Age)
 	feed.startup.evacuationsKnown = reply.Delta.SupportsEvacuations
 }
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -191,10 +191,8 @@
 	}
 }
 
-// list reads all keys page by page and records the revision of the first page; a watch from that revision misses no
-// change. With allowStale the result may be seconds old.
+// list reads all keys page by page. With allowStale each page may be seconds old, and older than the one before.
 func (feed *Feed) list(cursor *cursor.Cursor, allowStale bool) (time.Duration, error) {
-	var revision uint64
 	var revisions []uint64 // of each page
 	after, first := "", true
 	for {
@@ -204,17 +202,13 @@
 		if err != nil {
 			return 0, err
 		}
-		if first {
-			revision = response.Revision
-		}
 		revisions = append(revisions, response.Revision)
 		last := !response.HasMore || response.LastKey == ""
-		position := cursor.Position()
-		position.Revision = revision
+		position := cursor.ReadPage(first, response.Revision)
 		feed.root.Send(feed.pid, listPage{response, first, last, position, allowStale})
 		if last {
 			feed.log.WithFields(logrus.Fields{"stale": allowStale, "era": position.Era, "revisions": revisions}).Info("store listed")
-			return cursor.ReadAll(revision, allowStale), nil
+			return cursor.ReadAll(allowStale), nil
 		}
 		after, first = response.LastKey, false
 	}
--- /dev/null
+++ b/shallotreel/feed/stale_test.go
@@ -0,0 +1,93 @@
+package feed
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"shallotreel.example/platform/storetest"
+)
+
+// usable returns the ids of the targets that the instance uses.
+func (instance *instance) usable() []string {
+	var ids []string
+	for _, target := range instance.View().Targets("desk") {
+		ids = append(ids, target.ID)
+	}
+	return ids
+}
+
+// assertUsable checks that the instance, once it has read all changes of the store, uses the targets.
+func assertUsable(t *testing.T, store *storetest.Store, instance *instance, want ...string) {
+	t.Helper()
+	const marker = "zz"
+	store.Register(t, storetest.Target{ID: marker, Seq: 1}) // the last change, after which nothing may be missing
+	waitFor(t, "the last change", func() bool { return slices.Contains(instance.usable(), marker) })
+	want = slices.Concat(want, []string{marker})
+	if got := instance.usable(); !slices.Equal(got, want) {
+		t.Errorf("the instance uses %v, want %v", got, want)
+	}
+}
+
+// TestPagesOfDifferentAge guards against targets that stay in use after their removal, or out of use after their return: the pages of a first
+// listing come from replicas of different age.
+func TestPagesOfDifferentAge(t *testing.T) {
+	const targets = 6
+	var all []string
+	for i := range targets {
+		all = append(all, fmt.Sprint("in-", i))
+	}
+	for _, test := range []struct {
+		name  string
+		first bool // whether the first page is old, and the second new
+	}{{"a new page after an old one", true}} {
+		open := func(t *testing.T, change func(store *storetest.Store)) (*storetest.Store, *instance) {
+			store := storetest.Start(t)
+			store.Configure(t, 1)
+			for _, id := range all {
+				store.Register(t, storetest.Target{ID: id, Seq: 1})
+			}
+			store.SetPageSize(targets / 2)
+			old := store.Copy()
+			change(store)
+			if test.first {
+				store.SetReplicas(old, store.Copy())
+			} else {
+				store.SetReplicas(store.Copy(), old)
+			}
+			started := start(t, store.Address(), &fakePeers{})
+			waitFor(t, "the catalogue", func() bool { return started.version() == 1 })
+			return store, started
+		}
+		t.Run(test.name+", removed", func(t *testing.T) {
+			store, instance := open(t, func(store *storetest.Store) {
+				store.Remove(all[0])
+				store.Remove(all[targets-1])
+			})
+			assertUsable(t, store, instance, all[1:targets-1]...)
+		})
+		t.Run(test.name+", removed and back", func(t *testing.T) {
+			store, instance := open(t, func(store *storetest.Store) {
+				for _, id := range all {
+					store.Remove(id)
+				}
+				for _, id := range all {
+					store.Register(t, storetest.Target{ID: id, Seq: 2})
+				}
+			})
+			assertUsable(t, store, instance, all...)
+		})
+		t.Run(test.name+", started again with a clock that is behind", func(t *testing.T) {
+			store, instance := open(t, func(store *storetest.Store) {
+				for _, id := range all {
+					store.Register(t, storetest.Target{ID: id, Seq: 9, Born: time.Now().UnixMilli(), Leaving: true})
+				}
+				for _, id := range all {
+					store.Register(t, storetest.Target{ID: id, Seq: 1, Born: 7})
+				}
+			})
+			assertUsable(t, store, instance, all...)
+		})
+	}
+}
