Cursor: a listing has the position of its oldest page, so that no removal is missed after a start

Cause: a listing that may be stale took the revision of its first page, and the watch began there. Changes between the state of a later, older page and that revision are on no page and in no watch.

Evidence: 'store listed revisions=[681 565]', and removals from 565 to 681 never come. Ruled out: removals that are held back, and targets told by a peer (the instance reads the store itself).

Evacuations are compared with the same position. No call is added.

Before: TestPagesOfDifferentAge 'an old page after a new one, removed' and TestRegisteredTargetsAreUsed fail.

--- a/reel/cursor/cursor.go
+++ b/reel/cursor/cursor.go
@@ -56,7 +56,7 @@
 // Cursor records how far an instance has read. It is not safe for concurrent use.
 type Cursor struct {
 	position    Position // newest state that was read
-	listing     uint64   // revision of the first page of the full read in progress
+	listing     uint64   // lowest revision of the pages of the full read in progress
 	listed      bool     // whether a full read of this era has succeeded
 	stale       bool     // whether the only read so far is a stale one
 	requireNew  bool     // whether the next full read must not be stale
@@ -110,16 +110,17 @@
 	cursor.listed, cursor.stale, cursor.requireNew = false, false, true
 }
 
-// ReadPage records that a page of a full read was read at the revision, and returns the position of the read: that of the first page.
+// ReadPage records that a page of a full read was read at the revision, and returns the position of the read so far: the oldest state that a
+// page is of. Pages of a read that may be stale come from replicas of different age.
 func (cursor *Cursor) ReadPage(isFirst bool, revision uint64) Position {
-	if isFirst {
+	if isFirst || revision < cursor.listing {
 		cursor.listing = revision
 	}
 	return Position{Era: cursor.position.Era, Revision: cursor.listing}
 }
 
-// ReadAll records that all pages were read, and returns how long to wait before the next read. The changes after the first page may have been
-// read in part.
+// ReadAll records that all pages were read, and returns how long to wait before the next read. The changes after the oldest page have been
+// read in part, and are all read again.
 func (cursor *Cursor) ReadAll(allowedStale bool) time.Duration {
 	cursor.position.Revision = cursor.listing
 	cursor.listed, cursor.stale = true, allowedStale
--- a/reel/cursor/fleet_test.go
+++ b/reel/cursor/fleet_test.go
@@ -244,7 +244,7 @@
 		era:         1,
 		born:        firstBorn / 2,
 		state:       copied{items: map[string]record{}},
-		pageSize:    1 << 10,
+		pageSize:    rapid.IntRange(1, 8).Draw(t, "page size"),
 		beatsChange: rapid.Bool().Draw(t, "beats change"),
 		targets:     map[string]catalogue.Target{},
 		gone:        map[string]time.Time{},
--- a/shallotreel/feed/stale_test.go
+++ b/shallotreel/feed/stale_test.go
@@ -41,7 +41,7 @@
 	for _, test := range []struct {
 		name  string
 		first bool // whether the first page is old, and the second new
-	}{{"a new page after an old one", true}} {
+	}{{"an old page after a new one", false}, {"a new page after an old one", true}} {
 		open := func(t *testing.T, change func(store *storetest.Store)) (*storetest.Store, *instance) {
 			store := storetest.Start(t)
 			store.Configure(t, 1)
@@ -91,3 +91,39 @@
 		})
 	}
 }
+
+// TestEvacuationOnPagesOfDifferentAge guards against an evacuation, or its end, that is missed because the page that has it, or another one, is old.
+func TestEvacuationOnPagesOfDifferentAge(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		change   func(store *storetest.Store)
+		isFirst  bool // whether the first page, which has the evacuations, is the old one
+		expected []string
+	}{
+		{"began, on an old page", func(store *storetest.Store) { store.Evacuate("b", nil) }, true, []string{"b"}},
+		{"began, before an old page", func(store *storetest.Store) { store.Evacuate("b", nil) }, false, []string{"b"}},
+		{"ended, on an old page", func(store *storetest.Store) { store.TakeBack("a") }, true, nil},
+		{"ended, before an old page", func(store *storetest.Store) { store.TakeBack("a") }, false, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			store := evacuable(t)
+			if test.expected == nil {
+				store.Evacuate("a", nil)
+			}
+			store.SetPageSize(2)
+			old := store.Copy()
+			test.change(store)
+			replicas := []storetest.Copy{store.Copy(), old}
+			if test.isFirst {
+				slices.Reverse(replicas)
+			}
+			store.SetReplicas(replicas...)
+			instance := start(t, store.Address(), &fakePeers{})
+			store.Register(t, storetest.Target{ID: "zz", Seq: 1, DataCentre: "c"})
+			waitFor(t, "the last change", func() bool { return slices.Contains(instance.usable(), "zz") })
+			if !instance.evacuated(test.expected...) {
+				t.Errorf("the evacuations are %v, want %v", instance.View().Evacuations(), test.expected)
+			}
+		})
+	}
+}
