Own interface: an idle connection to the configuration service is closed after a second

What callers of the own interface would see: a document in force seconds late. An instance that becomes a watcher of its data centre reads by the connection that it has from its start, and which may have gone silent: a read then ends by its timeout, after 2 s and the wait.

Found by the search for related paths, not seen in a run of processes.

Change: idle connections are closed after a second.

Before: reel/platform TestSilentIdleConnection fails ('context deadline exceeded'). After: it passes.

--- a/reel/platform/platform.go
+++ b/reel/platform/platform.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -23,6 +24,7 @@
 const (
 	maxValueSize   = 1 << 20         // bytes
 	responseMargin = 2 * time.Second // time for the response after the wait of Watch
+	idleTimeout    = time.Second     // after which an idle connection is closed, since it may go silent meanwhile
 )
 
 // Value is one published value and its version.
@@ -46,11 +48,29 @@
 	http *http.Client
 }
 
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option changes a client that NewClient returns.
+type Option func(*http.Transport)
+
+// WithDial makes the client open its connections by the function.
+func WithDial(dial Dial) Option {
+	return func(transport *http.Transport) { transport.DialContext = dial }
+}
+
 // NewClient returns a client of the configuration service at the address.
-func NewClient(address netip.AddrPort) *Client {
-	return &Client{base: "http://" + address.String(), http: &http.Client{}}
+func NewClient(address netip.AddrPort, options ...Option) *Client {
+	transport := &http.Transport{IdleConnTimeout: idleTimeout}
+	for _, option := range options {
+		option(transport)
+	}
+	return &Client{base: "http://" + address.String(), http: &http.Client{Transport: transport}}
 }
 
+// Close closes the idle connections.
+func (client *Client) Close() { client.http.CloseIdleConnections() }
+
 // Watch returns the value of the key as soon as its version differs from the given one, or the unchanged value after
 // wait. It returns an error if the request fails, also because of the context, or the response is invalid.
 func (client *Client) Watch(ctx context.Context, key string, version uint64, wait time.Duration) (Value, error) {
