--- a/shallotreel/relay/link.go
+++ b/shallotreel/relay/link.go
@@ -23,8 +23,8 @@
 	maxLostSilence = 5 * time.Second
 	// pauseThreshold is the time between two checks that shows that this process was paused.
 	pauseThreshold = 250 * time.Millisecond
-	// idleTime is how long a link without calls stays open.
-	idleTime = 10 * time.Second
+	// idleTime is how long a link without calls stays open. It may go silent meanwhile, which is noticed only once calls are running.
+	idleTime = time.Second
 )
 
 // ErrNotSent is the error of a call of which nothing was sent.
