Own interface: an idle connection to a target is closed after a second and a half

What callers of the own interface would see: an attempt is lost, and one that must not be repeated has an unknown outcome, since it is sent on a connection that went silent while it was not used; a caller of a popular kind less often, one who comes once a minute each time.

Found by the search for related paths, not seen in a run of processes.

Change: 1.5 s, as on the platform's door (connpool).

Before: reel/target TestSilentIdleConnection fails ('context deadline exceeded'). After: it passes.

--- a/reel/target/client.go
+++ b/reel/target/client.go
@@ -20,8 +20,8 @@
 	maxHeadSize    = 64 << 10 // bytes of a reply's status line and header
 	maxReplySize   = 4 << 20  // bytes
 	dialTimeout    = 500 * time.Millisecond
-	idleTimeout    = 90 * time.Second
-	controlTimeout = 2 * time.Second // of a cancellation or a report
+	idleTimeout    = 1500 * time.Millisecond // idle connections may go silent, and count against the limit of the target
+	controlTimeout = 2 * time.Second         // of a cancellation or a report
 )
 
 // Client sends requests to one target over a bounded pool of keep-alive connections. It is safe for concurrent use.
@@ -29,17 +29,31 @@
 	base      string
 	http      *http.Client
 	transport *http.Transport
+	dial      Dial
 	dials     atomic.Int64
 }
 
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option changes a client that NewClient returns.
+type Option func(*Client)
+
+// WithDial makes the client open its connections by the function.
+func WithDial(dial Dial) Option {
+	return func(client *Client) { client.dial = dial }
+}
+
 // NewClient returns a client of the target at the address that has at most the given number of connections open.
-func NewClient(address netip.AddrPort, connections int) *Client {
-	client := &Client{base: "http://" + address.String()}
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func NewClient(address netip.AddrPort, connections int, options ...Option) *Client {
+	client := &Client{base: "http://" + address.String(), dial: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	for _, option := range options {
+		option(client)
+	}
 	client.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			client.dials.Add(1)
-			return dialer.DialContext(ctx, network, addr)
+			return client.dial(ctx, network, addr)
 		},
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
