Catalogue: what is known without a position is not replaced by a held report; comments after a reading of the diff

What could be seen: nothing was. A report is held only against what is known with a position, since what a peer of an older build has told may be newer than a report of any era. TestReplyToOlderBuild has the positions of removals.

--- a/reel/catalogue/catalogue.go
+++ b/reel/catalogue/catalogue.go
@@ -9,7 +9,7 @@
 	"shallotreel.example/reel/storepos"
 )
 
-// tombstoneTTL is how long the last sequence number of a removed target is kept, so that older reports are
+// tombstoneTTL is how long the last report of a removed target and its position are kept, so that older reports are
 // detected.
 const tombstoneTTL = 2 * time.Minute
 
@@ -26,8 +26,8 @@
 	// ColdLeft is how long the target was still cold at ColdAt, which is zero if it is unknown.
 	ColdLeft time.Duration
 	ColdAt   time.Time // when the instance that reads the store read the registration, by its clock
-	// Position is the newest state of the store of which is known that it has this registration, or that the registration had ended by then. It
-	// is zero if an instance has told it whose build does not know positions.
+	// Position is the newest state of the store that is known to have the registration, or in which the registration had ended. It is zero if
+	// the target was told by an instance whose build does not know positions.
 	Position storepos.Position
 }
 
--- a/reel/catalogue/held.go
+++ b/reel/catalogue/held.go
@@ -6,16 +6,16 @@
 // 1.2 s, and the time to learn of the removal.
 const restoredReportTime = 5 * time.Second
 
-// held is a report of a later era of the store than what is known, which seems to be older. The store was restored from a copy, which may
-// have a registration that has ended since; if the process runs, the store keeps it.
+// held is a report that seems older than what is known, but is of a later era of the store. The copy from which the store was restored may have
+// a registration that has ended since; the store keeps it if the process runs.
 type held struct {
 	target Target
 	since  time.Time // zero until the next tick
 }
 
-// hold keeps the report for the case that the store keeps it.
+// hold keeps a report that is older than what is known, in case the restored store keeps it.
 func (entry *entry) hold(target Target) {
-	if !target.Position.IsKnown() || target.Position.Era <= entry.Position.Era {
+	if !entry.Position.IsKnown() || target.Position.Era <= entry.Position.Era {
 		return
 	}
 	if entry.held == nil {
--- a/reel/cursor/fleet_test.go
+++ b/reel/cursor/fleet_test.go
@@ -182,6 +182,9 @@
 
 // disturb plays one drawn event.
 func (simulation *simulation) disturb(t *rapid.T) {
+	if len(simulation.targets) == 0 {
+		simulation.startTarget(fmt.Sprint("new-", simulation.born))
+	}
 	ids := slices.Sorted(maps.Keys(simulation.targets))
 	instance := rapid.SampledFrom(simulation.instances).Draw(t, "instance")
 	milliseconds := func(low, high int) time.Duration {
--- a/shallotreel/cataloguesync/builds_test.go
+++ b/shallotreel/cataloguesync/builds_test.go
@@ -124,6 +124,8 @@
 	current := catalogue.New()
 	now := time.Now()
 	current.Register(catalogue.Target{ID: "one", Service: "desk", Address: netip.MustParseAddrPort("10.0.0.1:80"), Seq: 6})
+	current.Register(catalogue.Target{ID: "gone", Position: cursor.Position{Era: 2, Revision: 8}})
+	current.Remove(now, catalogue.Removal{ID: "gone", Position: cursor.Position{Era: 2, Revision: 9}})
 	current.Configure(catalogue.NewConfiguration(3, []catalogue.Route{{Name: "r"}}, []catalogue.Service{{Name: "desk", MaxConnections: 9}}, catalogue.Limits{}))
 	current.Evacuate(now, "a", cursor.Position{Era: 2, Revision: 11})
 	current.StoreFailed()
@@ -146,6 +148,9 @@
 	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&same); err != nil {
 		t.Fatal(err)
 	}
+	if removals := same.Delta.Removals; len(removals) != 1 || removals[0] != (catalogue.Removal{ID: "gone", Position: cursor.Position{Era: 2, Revision: 9}}) {
+		t.Errorf("got removals %+v", removals)
+	}
 	if pending := same.Delta.Pending; !same.Delta.SupportsPending || len(pending) != 1 || pending[0].ID != "one" || pending[0].Left <= 0 {
 		t.Errorf("got pending removals %+v", pending)
 	}
--- a/shallotreel/feed/follow.go
+++ b/shallotreel/feed/follow.go
@@ -14,6 +14,7 @@
 	"shallotreel.example/shallotreel/cataloguesync"
 )
 
+// The first four are the bounds of the cursor, which local variables of that name hide.
 const (
 	peerHold          = cursor.PeerHold
 	peerTimeout       = cursor.PeerTimeout
