--- a/reel/catalogue/order_test.go
+++ b/reel/catalogue/order_test.go
@@ -68,6 +68,14 @@
 		catalogue.Register(odd)
 		assertUsable(t, catalogue, "one")
 	})
+	t.Run("a report after one with a plausible start and number, which another program wrote", func(t *testing.T) {
+		catalogue := known(11)
+		odd := targetAt("one", 900, position(1, 12))
+		odd.Born, odd.Leaving = 99, true
+		catalogue.Register(odd)
+		catalogue.Register(targetAt("one", 6, position(1, 13)))
+		assertUsable(t, catalogue, "one")
+	})
 	t.Run("a listing that is older than the registration", func(t *testing.T) {
 		catalogue := known(11)
 		list(catalogue, position(1, 10))
